Answer all that was taken before the kill that follows SIGTERM

The log of n269 has

8.690 INFO draining 13.061 INFO ready name=n269

and no "drained" in between: it was killed 3.73 s after SIGTERM while it still served. 268 others ended by themselves, as their clients were quicker.

Ruled out: a full inbox or late timers (CPU under 0.06 s in any second), a moved discovery (n269 was not reloaded).

Cause: New in sidecar.go took the longest deadline as it stands, 5 s here, and planned to serve 5.35 s, but of that deadline no more than 3 s count until SIGKILL. Requests taken before SIGTERM keep a deadline that may lie past the end of the process as well, and Close dropped them.

Design: drainTime bounds the deadline that counts; when the last answer is due the frontend answers all that is still open with 504 (ending), as where the module owes an answer. Tests: the plan against the kill for deadlines of 2, 3 and 5 s; a request that lasts longer than the process (EOF without the change).

--- a/internal/sidecar/frontend.go
+++ b/internal/sidecar/frontend.go
@@ -49,6 +49,7 @@
 	post     func(any)
 	drain    atomic.Pointer[time.Time] // when the last answer is due, from SIGTERM on
 	closing  atomic.Bool               // connections end with their next answer
+	ending   chan struct{}             // closed when the last answer is due
 	conns    *clientConns
 	ids      *idMemory
 	memory   *budget
@@ -157,14 +158,13 @@
 			return
 		}
 		a = <-c.answers
+	case <-f.ending: // the request came before SIGTERM and has more time left than the process
+		a, _ = f.conclude(c)
 	case <-guard.C:
 		// The module owes an answer and gave none: a bug, but the client is not left without one.
-		if c.finish() {
+		var owed bool
+		if a, owed = f.conclude(c); owed {
 			slog.Error("no answer from the module in time", "request", r.Header.Get("X-Request-ID"))
-			f.post(hangUp{c})
-			a = answer{status: statusTimedOut}
-		} else {
-			a = <-c.answers
 		}
 	}
 	// An attempt that passed its last check before the answer was decided may still be writing.
@@ -175,6 +175,15 @@
 	f.memory.give(a.held)
 }
 
+// conclude ends a call that the loop has not answered and reports so, or takes the answer that it has just given.
+func (f *frontend) conclude(c *call) (answer, bool) {
+	if !c.finish() {
+		return <-c.answers, false
+	}
+	f.post(hangUp{c})
+	return answer{status: statusTimedOut}, true
+}
+
 // limitWrite bounds the time for an answer from now on: a client that does not read would hold its place
 // among those taken for ever.
 func (f *frontend) limitWrite(w http.ResponseWriter) {
--- a/internal/sidecar/frontend_test.go
+++ b/internal/sidecar/frontend_test.go
@@ -588,6 +588,50 @@
 	s.ended <- nil
 }
 
+// SIGKILL comes 3.7 s after SIGTERM, however long a class's deadline is, and what was taken is answered by then.
+func TestDrainEndsBeforeTheKill(t *testing.T) {
+	for _, tt := range []struct {
+		deadline string
+		kill     time.Duration
+	}{{"2000", 2700 * time.Millisecond}, {"3000", 3700 * time.Millisecond}, {"5000", 3700 * time.Millisecond}} {
+		conf := newConf("127.0.0.1:1").setting(`"hard_limit_ms": 2500`, `"hard_limit_ms": `+tt.deadline)
+		cfg, err := conf.load(t)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, err := New(cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.frontend.conns.Close()
+		if end := s.drainServe + lastAnswers; end > tt.kill-killMargin || end < tt.kill-500*time.Millisecond {
+			t.Errorf("deadline %s ms: the last answer is due %v after SIGTERM, the kill %v", tt.deadline, end, tt.kill)
+		}
+	}
+}
+
+// A request that came before SIGTERM and may last longer than the process is answered before the end.
+func TestDrainAnswersWhatLastsLonger(t *testing.T) {
+	got := make(chan struct{}, 1)
+	b := newBackend(t, "a", func(c net.Conn, _ *http.Request, _ string) bool {
+		got <- struct{}{}
+		io.Copy(io.Discard, c)
+		return false
+	})
+	s := start(t, newConf(newRegistry(t).addr(), b.target))
+	s.drainServe = 100 * time.Millisecond
+	held := s.goDo(s.request("charge", patience))
+	receive(t, "the request", got)
+	s.term()
+	if r := receive(t, "its answer", held); r.status != statusTimedOut {
+		t.Errorf("%+v, want %d", r, statusTimedOut)
+	}
+	if err := receive(t, "the end", s.ended); err != nil {
+		t.Error(err)
+	}
+	s.ended <- nil
+}
+
 // Requests beside each other, some of which hang up, leave nothing behind.
 func TestNothingIsLeftBehind(t *testing.T) {
 	b := newBackend(t, "a", ok)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -29,11 +29,13 @@
 	freeMemory  = 256   // MB assumed where there is no limit
 
 	// After SIGTERM new connections come for up to 0.4 s, and the application goes on with those it has for
-	// as long as they are open. SIGKILL comes no sooner than the longest deadline and killAfter later.
-	drainAccept = 500 * time.Millisecond
-	killAfter   = 700 * time.Millisecond
-	killMargin  = 200 * time.Millisecond // before it all is answered
-	lastAnswers = 150 * time.Millisecond // before that no connection is kept any more
+	// as long as they are open. SIGKILL comes no sooner than the longest deadline, of which no more than
+	// killDeadline counts, and killAfter later.
+	drainAccept  = 500 * time.Millisecond
+	killDeadline = 3 * time.Second
+	killAfter    = 700 * time.Millisecond
+	killMargin   = 200 * time.Millisecond // before it all is answered
+	lastAnswers  = 150 * time.Millisecond // before that no connection is kept any more
 
 	drainPoll = 20 * time.Millisecond
 	reapEvery = time.Second
@@ -70,20 +72,25 @@
 	if cfg.maxOpen > 0 {
 		maxTaken = min(maxTaken, cfg.maxOpen)
 	}
-	longest := 0.0
-	for i := range cfg.balance.Classes {
-		longest = math.Max(longest, cfg.balance.Classes[i].Deadline)
-	}
 	return &Sidecar{
 		cfg: cfg, discovery: cfg.Discovery, loop: l,
-		drainAccept: drainAccept, drainServe: millis(longest) + killAfter - killMargin - lastAnswers,
+		drainAccept: drainAccept, drainServe: drainTime(cfg) - lastAnswers,
 		frontend: &frontend{
 			cfg: cfg, post: l.post, conns: newClientConns(listener, clients, int(keepShare*float64(cfg.Sockets))), ids: newIDMemory(),
-			memory: memory, maxTaken: int64(maxTaken), writeWait: writeWait,
+			memory: memory, maxTaken: int64(maxTaken), writeWait: writeWait, ending: make(chan struct{}),
 		},
 	}, nil
 }
 
+// drainTime is how long after SIGTERM all that was taken has to be answered.
+func drainTime(cfg *Config) time.Duration {
+	longest := time.Duration(0)
+	for i := range cfg.balance.Classes {
+		longest = max(longest, millis(cfg.balance.Classes[i].Deadline))
+	}
+	return min(longest, killDeadline) + killAfter - killMargin
+}
+
 // Limit tells the runtime what the configuration allows this process.
 func Limit(cfg *Config) {
 	debug.SetGCPercent(gcPercent)
@@ -155,6 +162,8 @@
 	slog.Info("draining")
 	end := time.Now().Add(s.drainServe + lastAnswers)
 	s.frontend.drain.Store(&end)
+	last := time.AfterFunc(time.Until(end), func() { close(s.frontend.ending) })
+	defer last.Stop()
 	time.Sleep(s.drainAccept)
 	poll := time.NewTicker(drainPoll)
 	defer poll.Stop()
@@ -168,7 +177,7 @@
 	defer cancel()
 	err := srv.Shutdown(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
-		// What is left is past its deadline or has never sent a request.
+		// What is left cannot take its answer or has never sent a request.
 		err = srv.Close()
 	}
 	if err != nil {
