Tell refused clients when to come back

The settings allow Retry-After and say how long clients follow it, but answer sent each refusal with none, so that clients that do obey came back as soon as the others.

Design: holdOff in balance.go, for each refusal of the module where the settings allow it: the least time of an answer of the class, as nothing has changed sooner, and what the shedding of now takes to leak away, jittered by half so that those who are turned away together do not come back together, at most max_retry_after_ms. The answer itself goes out at once, as before.

Test: advice grows with what is shed, is spread, keeps the bound, and is none where clients take none; without the change it is 0.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -251,16 +251,27 @@
 	return spent || b.now >= r.arrived+r.class.Aim && b.refusable(r)
 }
 
-// answer ends a request unserved; clients get no hold-off, as a quick later try can be in time.
+// answer ends a request unserved, at once. A client that may try again is told when.
 func (b *Balancer) answer(r *request) {
-	kind := Fail
+	act := Action{Kind: Fail, Request: r.ID}
 	if b.refusable(r) {
-		kind = Refuse
+		act.Kind, act.At = Refuse, b.holdOff(r)
 	}
-	b.emit(Action{Kind: kind, Request: r.ID})
+	b.emit(act)
 	b.close(r)
 }
 
+// holdOff is how long a client should stay away: as long as an answer takes at the least, as nothing has
+// changed sooner, and what the shedding of now takes to leak away. It is jittered: those who were turned away
+// together would come back together.
+func (b *Balancer) holdOff(r *request) float64 {
+	if !b.cfg.RetryAfter {
+		return 0
+	}
+	pause := r.stats.quick*r.class.Aim + math.Max(b.steady-byChance, 0)*shedLeak
+	return math.Min(pause*(0.5+b.random()), b.cfg.MaxRetryAfter)
+}
+
 func (b *Balancer) refusable(r *request) bool { // the client may try again: it does no harm
 	if r.class.Effect == Safe || r.class.Effect == Keyed && r.class.Group == GroupAll {
 		return true
--- a/balance/trouble_test.go
+++ b/balance/trouble_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 )
 
@@ -666,3 +667,39 @@
 		t.Errorf("the idle server gets %d, the full one %d", sent[1], sent[2])
 	}
 }
+
+// Who is turned away is told when to come back: later while much is shed, not all at one time, and never later
+// than clients obey. Where clients are told nothing there is no advice.
+func TestRefusalsSayWhenToComeBack(t *testing.T) {
+	advice := func(cfg Config, steady float64) []float64 {
+		var all []float64
+		g := newRig(t, cfg) // no server: all is refused
+		for range 50 {
+			g.b.steady = steady
+			id, _ := g.ask(safeClass)
+			g.now += cfg.Classes[safeClass].Aim
+			for _, a := range g.do(Timer{Token: uint64(id)}) {
+				if a.Kind == Refuse {
+					all = append(all, a.At)
+				}
+			}
+		}
+		if len(all) != 50 {
+			t.Fatalf("%d of 50 were refused", len(all))
+		}
+		slices.Sort(all)
+		return all
+	}
+	cfg := baseConfig()
+	calm, crowded := advice(cfg, 0), advice(cfg, maxShed)
+	if calm[0] <= 0 || crowded[25] < 2*calm[25] {
+		t.Errorf("the advice is %v while nothing is shed, %v while most is", calm, crowded)
+	}
+	if crowded[49] > cfg.MaxRetryAfter || calm[49] < 1.5*calm[0] {
+		t.Errorf("the advice is %v and %v, at most %v can be told", calm, crowded, cfg.MaxRetryAfter)
+	}
+	cfg.RetryAfter = false
+	if none := advice(cfg, maxShed); none[49] != 0 {
+		t.Errorf("clients that take no advice got %v", none)
+	}
+}
