Name the module milldeck

The module path was bayhaven, an older name. Only import paths change; deploy file and program names stay.

--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"bayhaven/balance"
+	"milldeck/balance"
 )
 
 // A sidecar feeds its balancer events and carries out the actions that come back.
--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -9,8 +9,8 @@
 	"os"
 	"runtime/debug"
 
-	"bayhaven/balance"
-	"bayhaven/internal/wire"
+	"milldeck/balance"
+	"milldeck/internal/wire"
 )
 
 func main() {
--- a/cmd/silverreel/main.go
+++ b/cmd/silverreel/main.go
@@ -10,7 +10,7 @@
 	"os/signal"
 	"syscall"
 
-	"bayhaven/internal/sidecar"
+	"milldeck/internal/sidecar"
 )
 
 func main() {
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -12,8 +12,8 @@
 	"strconv"
 	"time"
 
-	"bayhaven/balance"
-	"bayhaven/internal/wire"
+	"milldeck/balance"
+	"milldeck/internal/wire"
 )
 
 // Config is what a sidecar is told at its start.
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -18,7 +18,7 @@
 	"sync/atomic"
 	"time"
 
-	"bayhaven/balance"
+	"milldeck/balance"
 )
 
 const (
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"bayhaven/balance"
+	"milldeck/balance"
 )
 
 // hearing is a discovery whose reports the test takes in place of the loop.
--- a/internal/sidecar/frontend.go
+++ b/internal/sidecar/frontend.go
@@ -12,7 +12,7 @@
 	"sync/atomic"
 	"time"
 
-	"bayhaven/balance"
+	"milldeck/balance"
 )
 
 // Final answers other than 200. 429 and 503 tell the client that trying again is harmless, so nothing else
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -9,7 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"bayhaven/balance"
+	"milldeck/balance"
 )
 
 // inboxSize lets socket goroutines hand over what they have while the loop is at work.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -13,7 +13,7 @@
 	"runtime/debug"
 	"time"
 
-	"bayhaven/balance"
+	"milldeck/balance"
 )
 
 const (
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -19,7 +19,7 @@
 	"sync/atomic"
 	"time"
 
-	"bayhaven/balance"
+	"milldeck/balance"
 )
 
 const (
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"bayhaven/balance"
+	"milldeck/balance"
 )
 
 // A kept connection that breaks under a request ends the attempt: an unsafe request is not sent again, and
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -10,7 +10,7 @@
 	"io"
 	"math"
 
-	"bayhaven/balance"
+	"milldeck/balance"
 )
 
 // Event codes.
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -5,7 +5,7 @@
 	"io"
 	"math"
 
-	"bayhaven/balance"
+	"milldeck/balance"
 )
 
 // Action codes.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"math"
 
-	"bayhaven/balance"
+	"milldeck/balance"
 )
 
 // settings mirrors the profile; keys that are not here are skipped.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"bayhaven/balance"
+	"milldeck/balance"
 )
 
 // unhex joins hex text with spaces and line breaks.
