Strict TOML files whose errors name file, line and key

Operators' files need one clear line for what is wrong. go-toml/v2 decodes strictly; a walk over its syntax tree keeps the line of each key, so that later checks (a negative rate, an unknown target) name it too. Tests cover unknown keys, types, absent keys and missing files.

--- /dev/null
+++ b/internal/conf/conf.go
@@ -0,0 +1,130 @@
+// Package conf reads the TOML files of the operators' command. Reading is strict: an unknown key, a value of the
+// wrong type or one that cannot be is an error that names file, line and key.
+package conf
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// maxFile bounds what is read, in bytes: a file that people write by hand is far smaller.
+const maxFile = 4 << 20
+
+// Error is a fault in a file, at a line (from 1; 0 where none is known) and a key (dotted, may be empty).
+type Error struct {
+	File string
+	Line int
+	Key  string
+	Err  error
+}
+
+func (e *Error) Error() string {
+	var b strings.Builder
+	b.WriteString(e.File)
+	if e.Line > 0 {
+		b.WriteString(":" + strconv.Itoa(e.Line))
+	}
+	if e.Key != "" {
+		b.WriteString(": " + e.Key)
+	}
+	return b.String() + ": " + e.Err.Error()
+}
+
+func (e *Error) Unwrap() error { return e.Err }
+
+// File is a file that was read; it knows where its keys stand, so that later checks can name the line too.
+type File struct {
+	Path  string
+	lines map[string]int
+}
+
+// Load reads the file at path into v, a pointer to a struct with toml tags. Keys that v lacks are refused.
+func Load(path string, v any) (*File, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &Error{File: path, Err: errors.Unwrap(err)}
+	}
+	return Parse(path, data, v)
+}
+
+// Parse is Load for bytes at hand; path only names them in errors.
+func Parse(path string, data []byte, v any) (*File, error) {
+	if len(data) > maxFile {
+		return nil, &Error{File: path, Err: fmt.Errorf("%d bytes, at most %d are read", len(data), maxFile)}
+	}
+	f := &File{Path: path, lines: keyLines(data)}
+	err := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields().EnableUnmarshalerInterface().Decode(v)
+	var unknown *toml.StrictMissingError
+	var bad *toml.DecodeError
+	switch {
+	case err == nil:
+		return f, nil
+	case errors.As(err, &unknown) && len(unknown.Errors) > 0:
+		first := &unknown.Errors[0]
+		line, _ := first.Position()
+		return nil, &Error{path, line, strings.Join(first.Key(), "."), errors.New("unknown key")}
+	case errors.As(err, &bad):
+		line, _ := bad.Position()
+		// The library says "toml: ..." and, for types, the Go field; the first is noise beside file and line.
+		msg := strings.TrimPrefix(bad.Error(), "toml: ")
+		return nil, &Error{path, line, strings.Join(bad.Key(), "."), errors.New(msg)}
+	default:
+		return nil, &Error{File: path, Err: err}
+	}
+}
+
+// Errorf makes an error at a key as written in the file, as "rate", "class[1].aim_ms" or "fault[0]". Where the
+// key is absent, the line is that of the table that lacks it.
+func (f *File) Errorf(key, format string, args ...any) error {
+	at := key
+	for at != "" && f.lines[at] == 0 {
+		cut := strings.LastIndexAny(at, ".[")
+		at = at[:max(cut, 0)]
+	}
+	return &Error{f.Path, f.lines[at], key, fmt.Errorf(format, args...)}
+}
+
+// keyLines maps each key and table of a document to its line. Array tables carry their index. What cannot be
+// parsed has no lines; decoding reports it.
+func keyLines(data []byte) map[string]int {
+	lines := map[string]int{}
+	counts := map[string]int{}
+	var p unstable.Parser
+	p.Reset(data)
+	table := ""
+	for p.NextExpression() {
+		e := p.Expression()
+		var parts []string
+		line := 0
+		for it := e.Key(); it.Next(); {
+			n := it.Node()
+			if line == 0 {
+				line = p.Shape(p.Range(n.Data)).Start.Line
+			}
+			parts = append(parts, string(n.Data))
+		}
+		name := strings.Join(parts, ".")
+		switch e.Kind {
+		case unstable.Table:
+			table = name
+		case unstable.ArrayTable:
+			table = fmt.Sprintf("%s[%d]", name, counts[name])
+			counts[name]++
+		case unstable.KeyValue:
+			if table != "" {
+				name = table + "." + name
+			}
+			lines[name] = line
+			continue
+		}
+		lines[table] = line
+	}
+	return lines
+}
--- /dev/null
+++ b/internal/conf/conf_test.go
@@ -0,0 +1,59 @@
+package conf
+
+import (
+	"errors"
+	"strings"
+	"testing"
+)
+
+type sample struct {
+	Name  string  `toml:"name"`
+	Rate  float64 `toml:"rate"`
+	Inner struct {
+		Depth int `toml:"depth"`
+	} `toml:"inner"`
+	Parts []struct {
+		Kind string `toml:"kind"`
+	} `toml:"part"`
+}
+
+func TestErrorsNameFileLineAndKey(t *testing.T) {
+	for _, c := range []struct{ name, text, want string }{
+		{"unknown key", "name = \"x\"\nrat = 3\n", "f.toml:2: rat: unknown key"},
+		{"unknown key in a table", "[inner]\ndepht = 3\n", "f.toml:2: inner.depht: unknown key"},
+		{"wrong type", "name = \"x\"\n\nrate = \"fast\"\n", "f.toml:3: "},
+		{"no TOML", "name = \n", "f.toml:1: "},
+	} {
+		_, err := Parse("f.toml", []byte(c.text), &sample{})
+		if err == nil || !strings.HasPrefix(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v, want one line that begins %q", c.name, err, c.want)
+		}
+		if !errors.As(err, new(*Error)) {
+			t.Errorf("%s: %T is no *Error", c.name, err)
+		}
+	}
+}
+
+func TestLaterChecksNameTheLine(t *testing.T) {
+	text := "name = \"x\"\n\n[inner]\ndepth = 3\n\n[[part]]\nkind = \"a\"\n\n[[part]]\nkind = \"b\"\n"
+	f, err := Parse("f.toml", []byte(text), &sample{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for key, want := range map[string]string{
+		"inner.depth":  "f.toml:4: inner.depth: bad",
+		"part[1].kind": "f.toml:10: part[1].kind: bad",
+		"part[1].size": "f.toml:9: part[1].size: bad", // absent: its table's line
+		"rate":         "f.toml: rate: bad",
+	} {
+		if got := f.Errorf(key, "bad").Error(); got != want {
+			t.Errorf("%q, want %q", got, want)
+		}
+	}
+}
+
+func TestAMissingFileIsNamed(t *testing.T) {
+	if _, err := Load("no/such.toml", &sample{}); err == nil || !strings.Contains(err.Error(), "no/such.toml") {
+		t.Errorf("%v does not name the file", err)
+	}
+}
