Lab: play a plan on a virtual clock, the module beside textbook baselines

One queue of events in one order; instances of one tick run beside each other, so the number of workers cannot show.

--- /dev/null
+++ b/internal/lab/sim/sim_test.go
@@ -0,0 +1,391 @@
+package sim
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"milldeck/balance"
+	"milldeck/internal/lab"
+)
+
+// small is a fleet that takes a fraction of a second to play; %s holds its faults.
+const small = `name = "small"
+duration_s = 12
+zones = ["a", "b"]
+[sidecars]
+count = 4
+[clients]
+retries = 1
+wait_ms = 100
+keys = 50
+leave = 0.02
+[[server]]
+kind = "k"
+count = 8
+cores = 2
+speed = [0.9, 1.2]
+queue = 40
+cold_from = 0.2
+cold_s = 4
+pod_size = 2
+[[class]]
+name = "read"
+work_ms = [10, 30]
+aim_ms = 200
+deadline_ms = 600
+effect = "safe"
+[[class]]
+name = "book"
+work_ms = [10, 30]
+aim_ms = 200
+deadline_ms = 800
+effect = "keyed"
+group = "pod"
+window_ms = 3000
+[[class]]
+name = "pay"
+share = 0.5
+work_ms = [10, 30]
+aim_ms = 200
+deadline_ms = 800
+effect = "unsafe"
+[[phase]]
+rate = 300
+%s`
+
+func plan(t *testing.T, faults string, seed uint64) *lab.Plan {
+	t.Helper()
+	f, err := lab.Parse("small.toml", fmt.Appendf(nil, small, faults))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f.Draw(seed)
+}
+
+func play(t *testing.T, p *lab.Plan, o Options) *lab.Result {
+	t.Helper()
+	r, _, err := Run(t.Context(), p, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// everyFault is one of each kind, one after the other.
+const everyFault = `
+[[fault]]
+kind = "slow"
+target = "server:0"
+by = 5
+at_s = 0.5
+for_s = 2
+[[fault]]
+kind = "errors"
+target = "server:1"
+part = 0.5
+at_s = 0.5
+for_s = 2
+[[fault]]
+kind = "silent"
+target = "server:2"
+at_s = 1
+for_s = 1
+[[fault]]
+kind = "refused"
+target = "server:3"
+at_s = 1
+for_s = 1
+[[fault]]
+kind = "reset"
+target = "server:4"
+part = 0.3
+at_s = 2
+for_s = 1
+[[fault]]
+kind = "spoilt"
+target = "server:5"
+part = 0.3
+at_s = 2
+for_s = 1
+[[fault]]
+kind = "cut"
+between = ["zone:a", "zone:b"]
+direction = "there"
+at_s = 3
+for_s = 1
+[[fault]]
+kind = "delay"
+between = ["sidecars", "server:6"]
+ms = 80
+at_s = 3
+for_s = 1
+[[fault]]
+kind = "loss"
+between = ["sidecars", "servers"]
+part = 0.05
+at_s = 4
+for_s = 0.5
+[[fault]]
+kind = "zone-lost"
+target = "zone:b"
+at_s = 5
+for_s = 1
+[[fault]]
+kind = "kill"
+target = "sidecar:0"
+at_s = 6
+for_s = 0.5
+[[fault]]
+kind = "kill"
+target = "server:0"
+at_s = 6
+for_s = 1
+[[fault]]
+kind = "freeze"
+target = "sidecar:1"
+at_s = 6.5
+for_s = 0.7
+[[fault]]
+kind = "freeze"
+target = "server:1"
+at_s = 6.5
+for_s = 0.7
+[[fault]]
+kind = "restart"
+target = "sidecars"
+steps = 2
+at_s = 7
+for_s = 2
+[[fault]]
+kind = "restart"
+target = "server:2"
+at_s = 7
+[[fault]]
+kind = "reload"
+target = "sidecars"
+at_s = 8
+[[fault]]
+kind = "discovery-down"
+at_s = 8
+for_s = 1
+[[fault]]
+kind = "discovery-late"
+ms = 500
+at_s = 9
+for_s = 1
+[[fault]]
+kind = "discovery-bad"
+share = 0.2
+at_s = 9
+for_s = 0.5
+[[fault]]
+kind = "roll"
+target = "server:4-5"
+steps = 2
+reuse = true
+at_s = 8
+for_s = 2
+[[fault]]
+kind = "descriptors"
+target = "sidecar:2"
+at_s = 10
+for_s = 1
+`
+
+func TestTheModuleKeepsTheRulesUnderEveryFault(t *testing.T) {
+	for seed := range uint64(10) {
+		r := play(t, plan(t, everyFault, seed+1), Options{})
+		if r.BrokenRules > 0 || r.Requests < 3000 || r.ServedShare < 0.5 {
+			t.Errorf("seed %d: %d requests, %.3f served, rules broken: %+v", seed+1, r.Requests, r.ServedShare, r.Broken)
+		}
+	}
+}
+
+func TestTheSameBytesWithAnyNumberOfWorkers(t *testing.T) {
+	var first []byte
+	for _, workers := range []int{1, 6, 6, 3} {
+		data, err := json.Marshal(play(t, plan(t, everyFault, 5), Options{Workers: workers}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if first == nil {
+			first = data
+		}
+		if !bytes.Equal(first, data) {
+			t.Fatalf("%d workers give another result", workers)
+		}
+	}
+}
+
+// planted is an instance that breaks one rule on purpose.
+type planted struct {
+	Instance
+	change func(p *planted, now float64, ev balance.Event, acts []balance.Action) []balance.Action
+
+	sent    map[balance.RequestID]balance.ServerID
+	held    []balance.Action
+	servers []balance.ServerID
+	bad     balance.ServerID
+}
+
+func (p *planted) Handle(now float64, ev balance.Event) ([]balance.Action, error) {
+	if l, is := ev.(balance.ServerList); is {
+		for _, s := range l.Servers {
+			if l.Kind != balance.ListDelta {
+				p.servers = append(p.servers, s.ID)
+			}
+			if l.Kind == balance.ListDelta && (s.State != balance.Ready || s.StartedAt > 0) {
+				p.bad = s.ID
+			}
+		}
+	}
+	acts, err := p.Instance.Handle(now, ev)
+	if err != nil {
+		return acts, nil // what it was made to do confuses the module
+	}
+	return p.change(p, now, ev, acts), nil
+}
+
+// sendTo has all first attempts go to one server.
+func sendTo(p *planted, acts []balance.Action) []balance.Action {
+	for i := range acts {
+		if acts[i].Kind == balance.Send && p.bad != 0 {
+			acts[i].Server = p.bad
+		}
+	}
+	return acts
+}
+
+// The judge is proved able to fail: for every rule that an instance can break, one that does is caught, with
+// the story of a request.
+func TestTheJudgeCatchesPlantedFaults(t *testing.T) {
+	drop := func(kinds ...balance.ActionKind) func(*planted, float64, balance.Event, []balance.Action) []balance.Action {
+		return func(_ *planted, _ float64, _ balance.Event, acts []balance.Action) []balance.Action {
+			var out []balance.Action
+			for _, a := range acts {
+				keep := true
+				for _, k := range kinds {
+					keep = keep && a.Kind != k
+				}
+				if keep {
+					out = append(out, a)
+				}
+			}
+			return out
+		}
+	}
+	for _, c := range []struct {
+		rule   lab.Rule
+		faults string
+		change func(*planted, float64, balance.Event, []balance.Action) []balance.Action
+	}{
+		{lab.RuleAnswer, "[[fault]]\nkind = \"errors\"\ntarget = \"servers\"\npart = 1\nat_s = 2\nfor_s = 1\n", drop(balance.Refuse, balance.Fail)},
+		{lab.RuleTwice, "[[fault]]\nkind = \"reset\"\ntarget = \"servers\"\npart = 0.2\nat_s = 2\nfor_s = 5\n",
+			func(p *planted, _ float64, ev balance.Event, acts []balance.Action) []balance.Action {
+				// A request that may have run is sent again, whatever its class, to any server.
+				if o, is := ev.(balance.Outcome); is && o.Result == balance.Reset && o.Attempt == 0 {
+					to := p.servers[0]
+					if to == o.Server {
+						to = p.servers[1]
+					}
+					return []balance.Action{{Kind: balance.Send, Request: o.Request, Server: to}}
+				}
+				return acts
+			}},
+		{lab.RuleParallel, "", func(p *planted, _ float64, ev balance.Event, acts []balance.Action) []balance.Action {
+			out := append([]balance.Action(nil), acts...)
+			for _, a := range acts {
+				if a.Kind == balance.Send {
+					out = append(out, balance.Action{Kind: balance.Send, Request: a.Request, Server: p.servers[0]})
+				}
+			}
+			return out
+		}},
+		{lab.RuleDrain, "[[fault]]\nkind = \"restart\"\ntarget = \"server:0\"\nat_s = 1\n",
+			func(p *planted, _ float64, _ balance.Event, acts []balance.Action) []balance.Action {
+				return sendTo(p, acts)
+			}},
+		{lab.RuleCold, "[[fault]]\nkind = \"kill\"\ntarget = \"server:0\"\nat_s = 1\nfor_s = 1\n",
+			func(p *planted, _ float64, _ balance.Event, acts []balance.Action) []balance.Action {
+				return sendTo(p, acts)
+			}},
+	} {
+		r := play(t, plan(t, c.faults, 3), Options{New: func(n int, cfg balance.Config) (Instance, error) {
+			b, err := balance.New(cfg)
+			return &planted{Instance: b, change: c.change}, err
+		}})
+		if r.RuleCounts[c.rule] == 0 {
+			t.Errorf("rule %s: the planted fault was not seen; broken: %v", c.rule, r.RuleCounts)
+			continue
+		}
+		for _, b := range r.Broken {
+			if b.Rule == c.rule && b.Request != 0 && len(b.Story) == 0 {
+				t.Errorf("rule %s: no story of request %d", c.rule, b.Request)
+			}
+		}
+	}
+}
+
+// All experiments of the repository are played, though only their first seconds.
+func TestExperimentsPlay(t *testing.T) {
+	files, err := filepath.Glob("../../../experiments/*.toml")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no experiments", err)
+	}
+	for _, path := range files {
+		f, err := lab.Load(path)
+		if err != nil {
+			t.Error(err)
+			continue
+		}
+		p := f.Draw(0)
+		p.Duration = 2000
+		r := play(t, p, Options{})
+		if r.Requests == 0 || r.BrokenRules > 0 {
+			t.Errorf("%s: %d requests, broken %+v", path, r.Requests, r.Broken)
+		}
+	}
+}
+
+func TestBaselinesKeepTheRulesOnRepeats(t *testing.T) {
+	for _, policy := range Policies()[1:] {
+		r := play(t, plan(t, everyFault, 2), Options{Policy: policy})
+		for _, rule := range []lab.Rule{lab.RuleTwice, lab.RuleParallel, lab.RuleDrain, lab.RuleAnswer} {
+			if r.RuleCounts[rule] > 0 {
+				t.Errorf("%s breaks rule %s: %+v", policy, rule, r.Broken[0])
+			}
+		}
+	}
+}
+
+// BenchmarkFleet shows how the time of a run grows with the number of sidecars, at the same load.
+func BenchmarkFleet(b *testing.B) {
+	data, err := os.ReadFile("../../../experiments/fleet.toml")
+	if err != nil {
+		b.Fatal(err)
+	}
+	for _, sidecars := range []int{30, 300, 1000} {
+		b.Run(fmt.Sprintf("sidecars=%d", sidecars), func(b *testing.B) {
+			f, err := lab.Parse("fleet.toml", data)
+			if err != nil {
+				b.Fatal(err)
+			}
+			f.Sidecars.Count = lab.Range{Least: float64(sidecars), Most: float64(sidecars)}
+			events := 0
+			for b.Loop() {
+				p := f.Draw(0)
+				p.Duration = 5000
+				_, stats, err := Run(b.Context(), p, Options{})
+				if err != nil {
+					b.Fatal(err)
+				}
+				events += stats.Events
+			}
+			b.ReportMetric(float64(events)/b.Elapsed().Seconds(), "events/s")
+		})
+	}
+}
