Lab: play a plan with real sidecar processes, sockets and faults between them

Each server stand-in has a port for each sidecar, so that a link between two parties can be cut, slowed or made lossy where it ends; a port whose accept queue is full is silent as a lost machine is.

--- /dev/null
+++ b/internal/lab/live/faults.go
@@ -0,0 +1,337 @@
+package live
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"milldeck/internal/lab"
+)
+
+const (
+	restartPause = 100 // ms between the end of a server and its new start, as in package sim
+	excuseAfter  = 500 // ms after a freeze or cut in which answers may still be late
+)
+
+// inject begins and ends the faults at their times; it returns once none is under way.
+func (f *fleet) inject(ctx context.Context) {
+	var all sync.WaitGroup
+	defer all.Wait()
+	for i := range f.plan.Faults {
+		ft := &f.plan.Faults[i]
+		all.Go(func() {
+			if !sleep(ctx, millis(ft.At-f.now())) {
+				return
+			}
+			slog.Debug("fault begins", "fault", ft.Label)
+			f.begin(ctx, ft)
+			if ft.End == 0 {
+				return
+			}
+			sleep(ctx, millis(ft.End-f.now()))
+			f.end(ctx, ft) // also when the run is cut short: what is stopped must go on to be ended
+		})
+	}
+	for _, s := range f.servers {
+		if s.plan.Born > 0 {
+			all.Go(func() {
+				if sleep(ctx, millis(s.plan.Born-f.now())) {
+					f.boot(s)
+				}
+			})
+		}
+		if s.plan.Ends > 0 {
+			all.Go(func() {
+				if sleep(ctx, millis(s.plan.Ends-f.now())) {
+					f.retire(ctx, s, false)
+				}
+			})
+		}
+	}
+}
+
+// failed reports what the lab itself could not do.
+func failed(what string, err error) {
+	if err != nil {
+		slog.Error("the lab cannot play a fault", "fault", what, "error", err)
+	}
+}
+
+func (f *fleet) begin(ctx context.Context, ft *lab.Fault) {
+	for _, i := range ft.Servers {
+		s := f.servers[i]
+		switch ft.Kind {
+		case lab.Kill:
+			s.die()
+			f.unlist(s)
+		case lab.ZoneLost:
+			f.net.change(func() { f.net.dark[i] = true })
+			failed(ft.Label, s.hush(true))
+			f.unlist(s)
+		case lab.Restart:
+			go f.retire(ctx, s, true)
+		case lab.Freeze:
+			f.net.change(func() { f.net.dark[i] = true })
+		case lab.Refused:
+			for _, p := range s.ports {
+				p.close()
+			}
+			s.lose()
+		case lab.DiscoveryBad:
+			if f.state(s) == ready {
+				f.publish(s, gone)
+			}
+		default:
+			s.suffer(ft, true)
+		}
+	}
+	for _, i := range ft.Sidecars {
+		n := f.nodes[i]
+		switch ft.Kind {
+		case lab.Kill:
+			n.kill()
+		case lab.Restart:
+			f.restarts.Go(func() { f.restart(n) })
+		case lab.Freeze:
+			f.judge.Excuse(i, f.now()-slackMS, ft.End+excuseAfter)
+			n.signal(syscall.SIGSTOP)
+		case lab.Reload:
+			f.reload(n)
+		case lab.Descriptors:
+			go f.fill(ctx, n, ft)
+		}
+	}
+	switch ft.Kind {
+	case lab.Cut, lab.Delay, lab.Loss:
+		f.net.change(func() { f.net.faults = append(f.net.faults, ft) })
+		if ft.Kind == lab.Cut {
+			f.cut(ft, true)
+		}
+	case lab.DiscoveryDown:
+		f.discoveryDown.Store(true)
+	case lab.DiscoveryLate:
+		f.listMu.Lock()
+		f.discoveryLate += ft.MS
+		f.listMu.Unlock()
+	}
+}
+
+func (f *fleet) end(ctx context.Context, ft *lab.Fault) {
+	for _, i := range ft.Servers {
+		s := f.servers[i]
+		switch ft.Kind {
+		case lab.Kill:
+			if !s.isUp() {
+				f.boot(s)
+			}
+		case lab.ZoneLost:
+			s.lose()
+			f.net.change(func() { delete(f.net.dark, i) })
+			failed(ft.Label, s.hush(false))
+			if s.plan.Ends == 0 || f.now() < s.plan.Ends {
+				f.boot(s)
+			}
+		case lab.Freeze:
+			f.net.change(func() { delete(f.net.dark, i) })
+		case lab.Refused:
+			failed(ft.Label, s.listen())
+		case lab.DiscoveryBad:
+			if f.state(s) == gone && s.isUp() {
+				f.publish(s, ready)
+			}
+		default:
+			s.suffer(ft, false)
+		}
+	}
+	for _, i := range ft.Sidecars {
+		n := f.nodes[i]
+		switch {
+		case ft.Kind == lab.Freeze:
+			n.signal(syscall.SIGCONT)
+		case ft.Kind == lab.Kill && ctx.Err() == nil:
+			f.restarts.Go(func() { f.again(n) })
+		}
+	}
+	switch ft.Kind {
+	case lab.Cut, lab.Delay, lab.Loss:
+		f.net.change(func() {
+			f.net.faults = slices.DeleteFunc(f.net.faults, func(g *lab.Fault) bool { return g == ft })
+		})
+		if ft.Kind == lab.Cut {
+			f.cut(ft, false)
+		}
+	case lab.DiscoveryDown:
+		f.discoveryDown.Store(false)
+	case lab.DiscoveryLate:
+		f.listMu.Lock()
+		f.discoveryLate -= ft.MS
+		f.listMu.Unlock()
+	}
+	for _, a := range f.agents {
+		a.catchUp()
+	}
+}
+
+// cut makes the ports between two parties silent, or lets them speak again, and excuses sidecars that are cut
+// off from their own clients.
+func (f *fleet) cut(ft *lab.Fault, on bool) {
+	for i, n := range f.nodes {
+		sidecar, client := lab.End{Kind: lab.SidecarEnd, N: i}, lab.End{Kind: lab.ClientEnd, N: i}
+		if on && (ft.Hits(client, sidecar) || ft.Hits(sidecar, client)) {
+			f.judge.Excuse(n.n, f.now()-slackMS, ft.End+excuseAfter)
+		}
+		for _, s := range f.servers {
+			server := lab.End{Kind: lab.ServerEnd, N: s.n}
+			// Of a connection that comes up, both ways are needed.
+			if ft.Hits(sidecar, server) || ft.Hits(server, sidecar) {
+				failed(ft.Label, s.ports[i].hush(on))
+			}
+		}
+	}
+}
+
+// boot starts a server anew, cold, and lists it.
+func (f *fleet) boot(s *server) {
+	s.mu.Lock()
+	fallen := s.model.Fallen()
+	s.mu.Unlock()
+	if fallen {
+		return // it stays down
+	}
+	if err := s.start(f.now(), true); err != nil {
+		failed("start of a server", err)
+		return
+	}
+	f.publish(s, ready)
+}
+
+func (s *server) isUp() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.up
+}
+
+// unlist has discovery find out, late, that a server is gone.
+func (f *fleet) unlist(s *server) {
+	s.mu.Lock()
+	life := s.life
+	s.mu.Unlock()
+	silent := f.plan.File.Discovery.SilentMS
+	time.AfterFunc(millis((silent.Least+silent.Most)/2), func() {
+		s.mu.Lock()
+		same := s.life == life
+		s.mu.Unlock()
+		if same && f.ctx.Err() == nil && f.state(s) == ready {
+			f.publish(s, gone)
+		}
+	})
+}
+
+// retire drains a server and ends it; again has it start anew.
+func (f *fleet) retire(ctx context.Context, s *server, again bool) {
+	if !s.isUp() || f.state(s) != ready {
+		return
+	}
+	f.publish(s, terminating)
+	if !sleep(ctx, millis(f.plan.GoneAfter())) || f.state(s) != terminating {
+		return
+	}
+	s.die()
+	if !again {
+		f.publish(s, gone)
+	} else if sleep(ctx, restartPause*time.Millisecond) {
+		f.boot(s)
+	}
+}
+
+// restart ends a sidecar as a planned restart does and starts it again.
+func (f *fleet) restart(n *node) {
+	ctx, cancel := context.WithTimeout(context.Background(), killAfter)
+	defer cancel()
+	if err := n.stop(ctx); err != nil {
+		f.judge.Crashed(f.now(), n.n, err.Error())
+	}
+	f.again(n)
+}
+
+// again starts a sidecar that has ended and waits until it is ready: told to end sooner, it would not have its
+// signals in hand yet.
+func (f *fleet) again(n *node) {
+	if f.ctx.Err() != nil {
+		return
+	}
+	err := n.start()
+	if err == nil {
+		err = n.ready(f.ctx)
+	}
+	failed("start of a sidecar", err)
+}
+
+// reload moves discovery and tells the sidecar with SIGHUP.
+func (f *fleet) reload(n *node) {
+	a := f.agents[n.n]
+	a.mu.Lock()
+	err := a.move()
+	a.mu.Unlock()
+	if err != nil {
+		failed("reload", err)
+		return
+	}
+	n.mu.Lock()
+	err = n.write(f.configPath(n))
+	n.mu.Unlock()
+	if err != nil {
+		failed("reload", err)
+		return
+	}
+	n.signal(syscall.SIGHUP)
+}
+
+// fill holds as many connections to a sidecar as it has descriptors, and says nothing on them.
+func (f *fleet) fill(ctx context.Context, n *node, ft *lab.Fault) {
+	var held []net.Conn
+	defer func() {
+		for _, c := range held {
+			c.Close()
+		}
+	}()
+	for f.now() < ft.End && ctx.Err() == nil {
+		c, err := net.DialTimeout("tcp4", n.addr, dialWait)
+		if err != nil || len(held) >= f.plan.File.Sidecars.Sockets {
+			sleep(ctx, readyPoll)
+		}
+		if err != nil {
+			continue
+		}
+		if held = append(held, c); len(held) > f.plan.File.Sidecars.Sockets {
+			held[0].Close()
+			held = held[1:]
+		}
+	}
+}
+
+// suffer begins or ends what makes a server answer badly.
+func (s *server) suffer(ft *lab.Fault, on bool) {
+	part, by := 0.0, 1.0
+	if on {
+		part, by = ft.Part, ft.By
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch ft.Kind {
+	case lab.Slow:
+		s.model.Slow = by
+	case lab.FastErrors:
+		s.model.Errors = part
+	case lab.Silent:
+		s.silent = on
+	case lab.ResetUnder:
+		s.resets = part
+	case lab.Spoilt:
+		s.spoils = part
+	}
+}
--- /dev/null
+++ b/internal/lab/live/live.go
@@ -0,0 +1,496 @@
+// Package live plays a lab plan with real silverreel processes on loopback addresses of their own: real sockets
+// and real time. Servers, discovery and clients are stand-ins that speak PROTOCOL, in this process; the server
+// model is that of package lab.
+package live
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"milldeck/internal/lab"
+	"milldeck/internal/lab/proc"
+)
+
+const (
+	// slackMS is what PROTOCOL adds to each time limit on sockets.
+	slackMS       = 50
+	readyWait     = 15 * time.Second
+	readyPoll     = 10 * time.Millisecond
+	killAfter     = 5 * time.Second // after SIGTERM: PROTOCOL's 3.7 s, and some for a busy machine
+	rememberAsked = 35 * time.Second
+	// beatEvery is how often the lab looks whether its own machine is late, and lateBeat from when on it is.
+	beatEvery = 5 * time.Millisecond
+	lateBeat  = 20 * time.Millisecond
+	// descriptors each process needs beside its connections.
+	spareDescriptors = 512
+)
+
+// Options say how a plan is played.
+type Options struct {
+	Sidecar  string // the program; it is started once for each sidecar
+	Dir      string // for configurations and logs
+	Progress func(Progress)
+}
+
+// Progress is how far a run has come.
+type Progress struct {
+	Done     float64 // of the load, 0 to 1
+	AtS      float64
+	Requests int
+	Served   float64 // share of the worth so far
+	Faults   []string
+}
+
+// Run plays a plan. When ctx ends early, children are ended and the result so far is returned, marked as cut.
+func Run(ctx context.Context, p *lab.Plan, opts Options) (*lab.Result, error) {
+	f, err := newFleet(ctx, p, opts)
+	if err != nil {
+		return nil, err
+	}
+	defer f.close()
+	if err := f.start(ctx); err != nil {
+		return nil, err
+	}
+	return f.play(ctx), nil
+}
+
+// fleet is all that takes part in a run.
+type fleet struct {
+	plan    *lab.Plan
+	opts    Options
+	judge   *lab.Judge
+	measure *lab.Measure
+	stores  *lab.Stores
+	addrs   *addresses
+	net     *network
+
+	ctx    context.Context // ends with the run
+	cancel context.CancelFunc
+	made   time.Time
+	zero   atomic.Int64 // ns from made to the run's time 0, when all sidecars are ready
+
+	servers  []*server
+	agents   []*agent
+	nodes    []*node
+	clients  sync.WaitGroup
+	restarts sync.WaitGroup // of sidecars
+	open     atomic.Int64
+	lastID   atomic.Uint64
+	attempts atomic.Int64
+	asked    sync.Map // request id -> *asked
+
+	listMu        sync.Mutex
+	rev           int64
+	listed        map[int]string
+	discoveryLate float64 // ms
+	discoveryDown atomic.Bool
+}
+
+func newFleet(ctx context.Context, p *lab.Plan, opts Options) (*fleet, error) {
+	if err := descriptors(p); err != nil {
+		return nil, err
+	}
+	addrs, err := takeAddresses()
+	if err != nil {
+		return nil, err
+	}
+	f := &fleet{
+		plan: p, opts: opts, judge: lab.NewJudge(p, slackMS), measure: lab.NewMeasure(p), stores: lab.NewStores(),
+		addrs: addrs, net: newNetwork(), listed: map[int]string{}, rev: 1,
+	}
+	f.ctx, f.cancel = context.WithCancel(context.Background())
+	f.made = time.Now()
+	for i := range p.Servers {
+		f.servers = append(f.servers, f.newServer(i))
+	}
+	for i := range p.Sidecars {
+		f.agents = append(f.agents, newAgent(f, i))
+		f.nodes = append(f.nodes, f.newNode(i))
+	}
+	return f, nil
+}
+
+// descriptors refuses a plan whose sockets this process may not hold.
+func descriptors(p *lab.Plan) error {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return fmt.Errorf("descriptors: %w", err)
+	}
+	listeners := len(p.Servers)*len(p.Sidecars) + 2*len(p.Sidecars)
+	// Beside its listener each pair of a sidecar and a server holds a few connections.
+	if need := uint64(3*listeners + spareDescriptors); need > limit.Cur {
+		return fmt.Errorf("%d sidecars and %d servers need about %d descriptors, the limit is %d: play it with lab sim",
+			len(p.Sidecars), len(p.Servers), need, limit.Cur)
+	}
+	return nil
+}
+
+// ms is a time in the run's own ms.
+func (f *fleet) ms(t time.Time) float64 {
+	return float64(t.Sub(f.made)-time.Duration(f.zero.Load())) / 1e6
+}
+
+func (f *fleet) now() float64 { return f.ms(time.Now()) }
+
+func (f *fleet) at(ms float64) time.Time {
+	return f.made.Add(time.Duration(f.zero.Load()) + millis(ms))
+}
+
+// unix is a time of the run in Unix ms, as boot_ms has it.
+func (f *fleet) unix(ms float64) float64 { return math.Round(float64(f.at(ms).UnixMicro()) / 1000) }
+
+func (f *fleet) nextID() uint64 { return f.lastID.Add(1) }
+
+// isRepeat tells whether a request had an attempt before this one.
+func (f *fleet) isRepeat(id uint64) bool {
+	v, known := f.asked.Load(id)
+	return known && v.(*asked).attempts.Add(1) > 1
+}
+
+// start brings up servers, discovery and sidecars; the run's time begins once all are ready.
+func (f *fleet) start(ctx context.Context) error {
+	for _, s := range f.servers {
+		if s.plan.Born > 0 {
+			continue
+		}
+		if err := s.start(0, false); err != nil {
+			return err
+		}
+		f.listed[s.n] = ready
+		for i, a := range f.agents {
+			a.entries[s.n] = f.entry(s, i, ready)
+			a.boots[s.n] = 0
+		}
+	}
+	for _, a := range f.agents {
+		if err := a.open(); err != nil {
+			return err
+		}
+		go a.receive()
+	}
+	for _, n := range f.nodes {
+		if err := n.start(); err != nil {
+			return err
+		}
+	}
+	for _, n := range f.nodes {
+		if err := n.ready(ctx); err != nil {
+			return err
+		}
+	}
+	f.zero.Store(int64(time.Since(f.made)))
+	return nil
+}
+
+// play runs load and faults to the end.
+func (f *fleet) play(ctx context.Context) *lab.Result {
+	load, stop := context.WithCancel(ctx)
+	defer stop()
+	var around sync.WaitGroup
+	around.Go(func() { f.beat(load) })
+	around.Go(func() { f.report(load) })
+	around.Go(func() { f.inject(load) })
+	f.load(load)
+	f.settle(ctx)
+	stop()
+	around.Wait()
+	f.restarts.Wait()
+	f.stopNodes()
+	f.cancel()
+	f.clients.Wait()
+	f.judge.Finish(f.now())
+	r := f.measure.Result("run", "module", f.judge)
+	r.Cut = ctx.Err() != nil
+	return r
+}
+
+// settle waits for what is open after the last request.
+func (f *fleet) settle(ctx context.Context) {
+	longest := 0.0
+	for i := range f.plan.Classes {
+		longest = max(longest, f.plan.Classes[i].DeadlineMS)
+	}
+	end := time.Now().Add(millis(longest) + 2*answerWait)
+	for f.open.Load() > 0 && time.Now().Before(end) && ctx.Err() == nil {
+		time.Sleep(readyPoll)
+	}
+}
+
+// beat watches for the lab's own machine being late, of which no sidecar is to blame.
+func (f *fleet) beat(ctx context.Context) {
+	for {
+		due := time.Now().Add(beatEvery)
+		if !sleep(ctx, beatEvery) {
+			return
+		}
+		if late := time.Since(due); late > lateBeat {
+			f.judge.Pardon(f.ms(due), f.now()+slackMS)
+		}
+	}
+}
+
+// report tells of the progress every second.
+func (f *fleet) report(ctx context.Context) {
+	if f.opts.Progress == nil {
+		return
+	}
+	for sleep(ctx, time.Second) {
+		now := f.now()
+		requests, served := f.measure.SoFar()
+		p := Progress{Done: min(1, now/f.plan.Duration), AtS: now / 1000, Requests: requests, Served: served}
+		for i := range f.plan.Faults {
+			if ft := &f.plan.Faults[i]; now >= ft.At && now < ft.End {
+				p.Faults = append(p.Faults, ft.Label)
+			}
+		}
+		f.opts.Progress(p)
+	}
+}
+
+// stopNodes ends the sidecars in good order.
+func (f *fleet) stopNodes() {
+	ctx, cancel := context.WithTimeout(context.Background(), killAfter)
+	defer cancel()
+	var all sync.WaitGroup
+	for _, n := range f.nodes {
+		all.Go(func() {
+			n.app.close()
+			if err := n.stop(ctx); err != nil {
+				f.judge.Crashed(f.now(), n.n, err.Error())
+			}
+		})
+	}
+	all.Wait()
+}
+
+// close ends whatever is left.
+func (f *fleet) close() {
+	f.cancel()
+	for _, n := range f.nodes {
+		n.app.close()
+		n.mu.Lock()
+		if n.proc != nil {
+			n.told.Store(true)
+			n.proc.Kill()
+		}
+		n.mu.Unlock()
+	}
+	for _, a := range f.agents {
+		a.close()
+	}
+	for _, s := range f.servers {
+		s.die()
+	}
+	f.addrs.release()
+}
+
+// node is one sidecar's process.
+type node struct {
+	f    *fleet
+	n    int
+	addr string
+	app  app
+
+	mu   sync.Mutex
+	proc *proc.Process
+	life int
+	told *atomic.Bool // this process was told to end
+}
+
+func (f *fleet) newNode(n int) *node { return &node{f: f, n: n, addr: f.addrs.sidecar(n)} }
+
+// start starts the process with what its agent knows.
+func (n *node) start() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	f := n.f
+	path := f.configPath(n)
+	if err := n.write(path); err != nil {
+		return err
+	}
+	p, err := proc.Start(proc.Spec{
+		Name: "sidecar " + f.plan.Sidecars[n.n].Name, Path: f.opts.Sidecar, Env: []string{"NODE_CONFIG=" + path},
+		Log: filepath.Join(f.opts.Dir, f.plan.Sidecars[n.n].Name+".log"),
+	})
+	if err != nil {
+		return err
+	}
+	n.proc, n.told = p, new(atomic.Bool)
+	n.life++
+	f.judge.Forget(n.n)
+	go n.mind(p, n.told)
+	return nil
+}
+
+func (f *fleet) configPath(n *node) string {
+	return filepath.Join(f.opts.Dir, f.plan.Sidecars[n.n].Name+".json")
+}
+
+// mind notices a process that ends by itself once the run has begun; before, its start has failed.
+func (n *node) mind(p *proc.Process, told *atomic.Bool) {
+	<-p.Done()
+	if !told.Load() && n.f.zero.Load() != 0 {
+		slog.Error("a sidecar ended by itself", "sidecar", n.f.plan.Sidecars[n.n].Name, "error", p.Exit(), "log", p.Log())
+		n.f.judge.Crashed(n.f.now(), n.n, fmt.Sprint(p.Exit()))
+	}
+}
+
+// write writes the configuration.
+func (n *node) write(path string) error {
+	f, a := n.f, n.f.agents[n.n]
+	a.mu.Lock()
+	known := a.all()
+	discovery := a.addr()
+	a.mu.Unlock()
+	s := f.plan.File.Sidecars
+	type m = map[string]any
+	data, err := json.Marshal(m{
+		"name": f.plan.Sidecars[n.n].Name, "listen": n.addr, "discovery": discovery,
+		"seed":   fmt.Sprintf("%016x", f.plan.LifeSeed(n.n, n.life)),
+		"limits": m{"cores": s.Cores, "memory_mb": s.MemoryMB, "sockets": s.Sockets},
+		"known":  known, "settings": json.RawMessage(f.plan.Settings(n.n)),
+	})
+	if err != nil {
+		return fmt.Errorf("configuration of sidecar %d: %w", n.n, err)
+	}
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		return fmt.Errorf("configuration of sidecar %d: %w", n.n, err)
+	}
+	return nil
+}
+
+// ready waits until the sidecar says that it is.
+func (n *node) ready(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWait)
+	defer cancel()
+	n.mu.Lock()
+	p := n.proc
+	n.mu.Unlock()
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for {
+		resp, err := client.Get("http://" + n.addr + "/health/ready")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		if !p.Running() {
+			return fmt.Errorf("%s ended before it was ready (%v); its log ends:\n%s", p.Name, p.Exit(), p.Log())
+		}
+		if !sleep(ctx, readyPoll) {
+			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+				return fmt.Errorf("%s did not get ready within %v; its log ends:\n%s", p.Name, readyWait, p.Log())
+			}
+			return ctx.Err()
+		}
+	}
+}
+
+// stop ends the process with SIGTERM; ctx bounds it.
+func (n *node) stop(ctx context.Context) error {
+	n.mu.Lock()
+	p := n.proc
+	if p == nil || !p.Running() {
+		n.mu.Unlock()
+		return nil
+	}
+	n.told.Store(true)
+	n.mu.Unlock()
+	return p.Stop(ctx)
+}
+
+// kill ends the process at once. What it owed is not its fault.
+func (n *node) kill() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.proc == nil || !n.proc.Running() {
+		return
+	}
+	n.told.Store(true)
+	now := n.f.now()
+	n.f.judge.Excuse(n.n, now-slackMS, now+slackMS)
+	n.proc.Kill()
+}
+
+func (n *node) signal(sig syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.proc != nil {
+		n.proc.Signal(sig)
+	}
+}
+
+// addresses is this run's own part of the loopback range, so that runs beside each other never meet.
+type addresses struct {
+	block int
+	lock  net.Listener
+}
+
+// Blocks of 127.B.0.0/16, and the address within one that is held for as long as it is taken.
+const (
+	firstBlock  = 64
+	lastBlock   = 126
+	sidecarPort = 8081
+	serverPort  = 10000 // plus the sidecar's number
+	lockPort    = 9999
+	hostsInNet  = 250
+	serverNets  = 16 // third byte from which on servers are; below it are sidecars and discovery
+)
+
+func takeAddresses() (*addresses, error) {
+	for b := firstBlock; b <= lastBlock; b++ {
+		ln, err := net.Listen("tcp4", fmt.Sprintf("127.%d.255.254:%d", b, lockPort))
+		if err == nil {
+			return &addresses{b, ln}, nil
+		}
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			return nil, fmt.Errorf("loopback addresses: %w", err)
+		}
+	}
+	return nil, fmt.Errorf("loopback addresses: all of 127.%d.0.0 to 127.%d.0.0 are taken by other runs", firstBlock, lastBlock)
+}
+
+func (a *addresses) release() { a.lock.Close() }
+
+func (a *addresses) in(net, host, port int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", a.block, net+host/hostsInNet, 1+host%hostsInNet, port)
+}
+
+func (a *addresses) sidecar(n int) string { return a.in(1, n, sidecarPort) }
+
+func (a *addresses) discovery(n, which int) string { return a.in(0, which, serverPort+n) }
+
+func (a *addresses) server(slot, sidecar int) string {
+	return a.in(serverNets, slot, serverPort+sidecar)
+}
+
+// LogTail gathers the ends of all logs of a run, for a failure's report.
+func LogTail(dir string) string {
+	var b strings.Builder
+	logs, _ := filepath.Glob(filepath.Join(dir, "*.log")) // the pattern is well-formed
+	for _, path := range logs {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			continue
+		}
+		if len(data) > 2000 {
+			data = data[len(data)-2000:]
+		}
+		fmt.Fprintf(&b, "== %s\n%s\n", filepath.Base(path), data)
+	}
+	return b.String()
+}
