--- /dev/null
+++ b/cmd/milldeck/main.go
@@ -0,0 +1,113 @@
+// Command milldeck is the operators' one command: it tries fleets out in the lab and tells what build it is.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"milldeck/internal/conf"
+)
+
+// Exit codes, the same for all subcommands.
+const (
+	exitFailed = 1 // the work was begun and failed
+	exitUsage  = 2 // bad use, or a file that cannot be used: nothing was begun
+)
+
+const exitHelp = `Exit codes: 0 done; 1 the work failed; 2 bad use or a bad file, nothing was begun.`
+
+// usageError marks an error as the caller's.
+type usageError struct{ error }
+
+func (e usageError) Unwrap() error { return e.error }
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	os.Exit(execute(ctx, os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// execute runs one command line and returns its exit code.
+func execute(ctx context.Context, args []string, out, errOut io.Writer) int {
+	root := newRoot()
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errOut)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(errOut, "milldeck:", err)
+	var usage usageError
+	var file *conf.Error
+	if errors.As(err, &usage) || errors.As(err, &file) {
+		return exitUsage
+	}
+	return exitFailed
+}
+
+func newRoot() *cobra.Command {
+	var level, format string
+	root := &cobra.Command{
+		Use:   "milldeck",
+		Short: "Runs and tries out fleets of load-balancing sidecars",
+		Long: "milldeck runs and tries out fleets of load-balancing sidecars.\n\n" +
+			"Logs go to standard error, results to standard output.\n" + exitHelp,
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		Args: func(_ *cobra.Command, args []string) error {
+			if len(args) > 0 {
+				return usageError{fmt.Errorf("unknown command %q, see milldeck --help", args[0])}
+			}
+			return nil
+		},
+		RunE: func(c *cobra.Command, _ []string) error { return c.Help() },
+		PersistentPreRunE: func(c *cobra.Command, _ []string) error {
+			return setLog(c.ErrOrStderr(), level, format)
+		},
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
+	flags := root.PersistentFlags()
+	flags.StringVar(&level, "log-level", "info", "least level that is logged: debug, info, warn or error")
+	flags.StringVar(&format, "log-format", "text", "form of the log: text or json")
+	root.AddCommand(newVersion(), newLab())
+	return root
+}
+
+// setLog makes the logger that all subcommands share.
+func setLog(w io.Writer, level, format string) error {
+	var l slog.Level
+	if err := l.UnmarshalText([]byte(level)); err != nil {
+		return usageError{fmt.Errorf("--log-level %s: not debug, info, warn or error", level)}
+	}
+	opts := &slog.HandlerOptions{Level: l}
+	var h slog.Handler
+	switch format {
+	case "text":
+		h = slog.NewTextHandler(w, opts)
+	case "json":
+		h = slog.NewJSONHandler(w, opts)
+	default:
+		return usageError{fmt.Errorf("--log-format %s: not text or json", format)}
+	}
+	slog.SetDefault(slog.New(h))
+	return nil
+}
+
+// exactly demands n arguments and says which in the usage line.
+func exactly(n int) cobra.PositionalArgs {
+	return func(c *cobra.Command, args []string) error {
+		if len(args) != n {
+			return usageError{fmt.Errorf("%s takes %d argument(s), not %d: %s", c.CommandPath(), n, len(args), c.UseLine())}
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/cmd/milldeck/main_test.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// command runs one command line in this process.
+func command(t *testing.T, args ...string) (code int, out, errOut string) {
+	t.Helper()
+	var o, e bytes.Buffer
+	code = execute(t.Context(), args, &o, &e)
+	return code, o.String(), e.String()
+}
+
+func TestVersionIsOneObject(t *testing.T) {
+	code, out, _ := command(t, "version", "--json")
+	var v map[string]any
+	if err := json.Unmarshal([]byte(out), &v); code != 0 || err != nil || v["version"] == "" || !strings.HasPrefix(v["go"].(string), "go1") {
+		t.Errorf("exit %d, %q: %v", code, out, err)
+	}
+}
+
+func TestBadUseExitsWithTwoAndOneLine(t *testing.T) {
+	dir := t.TempDir()
+	bad := filepath.Join(dir, "bad.toml")
+	for _, c := range []struct {
+		name, file string
+		args       []string
+		want       string
+	}{
+		{"unknown command", "", []string{"nonsense"}, "nonsense"},
+		{"unknown flag", "", []string{"version", "--colour"}, "--colour"},
+		{"unknown level", "", []string{"--log-level", "loud", "version"}, "--log-level loud"},
+		{"unknown format", "", []string{"--log-format", "xml", "version"}, "--log-format xml"},
+		{"no file", "", []string{"lab", "sim"}, "1 argument"},
+		{"no such file", "", []string{"lab", "sim", dir + "/none.toml"}, "none.toml"},
+		{"unknown key", "name = \"x\"\nspeed = 3\n", []string{"lab", "run", bad}, "bad.toml:2: speed: unknown key"},
+		{"unknown policy", quick, []string{"lab", "sim", bad, "--policy", "best"}, "--policy best"},
+		{"bad seeds", quick, []string{"lab", "sweep", bad, "--seeds", "9-1"}, "--seeds 9-1"},
+		{"negative rate", strings.Replace(quick, "rate = 100", "rate = -1", 1), []string{"lab", "sim", bad}, "phase[0].rate"},
+		{"unknown target", quick + "[[fault]]\nkind = \"kill\"\nat_s = 1\ntarget = \"server:99\"\n", []string{"lab", "run", bad}, "fault[0].target"},
+	} {
+		if c.file != "" {
+			if err := os.WriteFile(bad, []byte(c.file), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		code, _, errOut := command(t, c.args...)
+		if code != exitUsage || strings.Count(errOut, "\n") != 1 || !strings.Contains(errOut, c.want) {
+			t.Errorf("%s: exit %d, said %q, want 2 and one line with %q", c.name, code, errOut, c.want)
+		}
+	}
+}
+
+const quick = `name = "quick"
+duration_s = 3
+[[server]]
+kind = "k"
+count = 3
+[[class]]
+name = "c"
+work_ms = [5, 10]
+aim_ms = 200
+deadline_ms = 500
+effect = "safe"
+[[phase]]
+rate = 100
+`
+
+func TestSweepGoesOnWhereItWasCutOff(t *testing.T) {
+	dir := t.TempDir()
+	file, kept := filepath.Join(dir, "quick.toml"), filepath.Join(dir, "kept.jsonl")
+	if err := os.WriteFile(file, []byte(quick), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if code, out, errOut := command(t, "lab", "sweep", file, "--seeds", "1-2", "--json", kept); code != 0 {
+		t.Fatal(out, errOut)
+	}
+	whole, err := os.ReadFile(kept)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// As if the machine had gone down within the second line.
+	if err := os.WriteFile(kept, whole[:len(whole)-40], 0o600); err != nil {
+		t.Fatal(err)
+	}
+	code, out, errOut := command(t, "lab", "sweep", file, "--seeds", "1-2", "--json", kept)
+	if code != 0 || strings.Count(out, "from the file") != 1 {
+		t.Errorf("exit %d, %s %s, want one seed from the file", code, out, errOut)
+	}
+	if again, err := os.ReadFile(kept); err != nil || !bytes.Equal(whole, again) {
+		t.Errorf("the file differs from that of a sweep in one go: %v", err)
+	}
+	if code, out, errOut := command(t, "lab", "diff", kept, kept); code != 0 || !strings.HasPrefix(out, "2 pair(s)") {
+		t.Errorf("diff: exit %d, %s %s", code, out, errOut)
+	}
+}
+
+func TestAllPoliciesSideBySide(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "quick.toml")
+	if err := os.WriteFile(file, []byte(quick), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	code, out, errOut := command(t, "lab", "sim", file, "--policy", "all")
+	if code != 0 {
+		t.Fatal(errOut)
+	}
+	for _, name := range []string{"module", "random", "round-robin", "least", "two-choices"} {
+		if !strings.Contains(out, name) {
+			t.Errorf("%s is missing in\n%s", name, out)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/silverreel/lean_test.go
@@ -0,0 +1,22 @@
+package main
+
+import (
+	"os/exec"
+	"strings"
+	"testing"
+)
+
+// The sidecar's start, memory and processor time are scored, and it has the least to do with operators.
+func TestNoControlPlaneLibraryIsLinked(t *testing.T) {
+	out, err := exec.CommandContext(t.Context(), "go", "list", "-deps", ".").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name := range strings.Lines(string(out)) {
+		for _, word := range []string{"cobra", "toml", "raft", "prometheus", "gonum", "hdrhistogram", "milldeck/internal/lab"} {
+			if strings.Contains(name, word) {
+				t.Errorf("the sidecar links %s", name)
+			}
+		}
+	}
+}
