--- a/cmd/milldeck/lab.go
+++ b/cmd/milldeck/lab.go
@@ -87,18 +87,35 @@
 	return nil
 }
 
-// load reads an experiment and draws its plan.
-func loadPlan(path string, seed uint64) (*lab.Plan, error) {
+// draws are the flags of how an experiment is drawn.
+type draws struct {
+	seed    uint64
+	without []string
+}
+
+func (d *draws) flags(c *cobra.Command) {
+	c.Flags().Uint64Var(&d.seed, "seed", 0, "draw the experiment from this seed in place of the file's")
+	c.Flags().StringSliceVar(&d.without, "without", nil, "leave out faults of these kinds")
+}
+
+// plan reads an experiment and draws its plan.
+func (d *draws) plan(path string) (*lab.Plan, error) {
 	f, err := lab.Load(path)
 	if err != nil {
 		return nil, err
 	}
-	return f.Draw(seed), nil
+	for _, kind := range d.without {
+		if !slices.Contains(lab.FaultKinds(), kind) {
+			return nil, usageError{fmt.Errorf("--without %s: there are %s", kind, strings.Join(lab.FaultKinds(), ", "))}
+		}
+		f.Faults = slices.DeleteFunc(f.Faults, func(ft lab.FaultFile) bool { return ft.Kind == kind })
+	}
+	return f.Draw(d.seed), nil
 }
 
 func newLabSim() *cobra.Command {
 	var out outputs
-	var seed uint64
+	var d draws
 	var policy string
 	var workers int
 	c := &cobra.Command{
@@ -109,7 +126,7 @@
 		Example: "  milldeck lab sim experiments/fleet.toml --seed 3 --json out.json\n  milldeck lab sim experiments/fleet.toml --policy all",
 		Args:    exactly(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			p, err := loadPlan(args[0], seed)
+			p, err := d.plan(args[0])
 			if err != nil {
 				return err
 			}
@@ -155,7 +172,7 @@
 		},
 	}
 	out.flags(c)
-	c.Flags().Uint64Var(&seed, "seed", 0, "draw the experiment from this seed in place of the file's")
+	d.flags(c)
 	c.Flags().StringVar(&policy, "policy", sim.Module, "what decides: "+strings.Join(sim.Policies(), ", ")+", or all of them side by side")
 	c.Flags().IntVar(&workers, "workers", 0, "sidecars that decide at a time (default: one for each core); the result is the same")
 	return c
@@ -194,12 +211,12 @@
 
 // play plays a plan with real processes.
 func (l *liveFlags) play(ctx context.Context, p *lab.Plan, progress func(live.Progress)) (*lab.Result, error) {
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
 	path := l.sidecar
 	if path == "" {
-		self, err := os.Executable()
-		if err != nil {
-			return nil, err
-		}
 		path = filepath.Join(filepath.Dir(self), "silverreel")
 	}
 	if _, err := os.Stat(path); err != nil {
@@ -207,14 +224,13 @@
 	}
 	dir := l.logs
 	if dir == "" {
-		var err error
 		if dir, err = os.MkdirTemp("", "milldeck-lab-"); err != nil {
 			return nil, err
 		}
 	} else if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, err
 	}
-	r, err := live.Run(ctx, p, live.Options{Sidecar: path, Dir: dir, Progress: progress})
+	r, err := live.Run(ctx, p, live.Options{Sidecar: path, Milldeck: self, Dir: dir, Progress: progress})
 	if err != nil {
 		return nil, fmt.Errorf("%w (logs in %s)", err, dir)
 	}
@@ -248,7 +264,7 @@
 func newLabRun() *cobra.Command {
 	var out outputs
 	var l liveFlags
-	var seed uint64
+	var d draws
 	c := &cobra.Command{
 		Use:   "run FILE",
 		Short: "Plays an experiment with real sidecar processes and sockets",
@@ -257,7 +273,7 @@
 		Example: "  milldeck lab run experiments/quickstart.toml --report out",
 		Args:    exactly(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			p, err := loadPlan(args[0], seed)
+			p, err := d.plan(args[0])
 			if err != nil {
 				return err
 			}
@@ -273,13 +289,13 @@
 	}
 	out.flags(c)
 	l.flags(c)
-	c.Flags().Uint64Var(&seed, "seed", 0, "draw the experiment from this seed in place of the file's")
+	d.flags(c)
 	return c
 }
 
 func newLabCompare() *cobra.Command {
 	var l liveFlags
-	var seed uint64
+	var d draws
 	var path string
 	c := &cobra.Command{
 		Use:   "compare FILE",
@@ -287,7 +303,7 @@
 		Long:  "compare plays an experiment in sim and in run, from the same plan, and prints both with their difference.\n\n" + exitHelp,
 		Args:  exactly(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			p, err := loadPlan(args[0], seed)
+			p, err := d.plan(args[0])
 			if err != nil {
 				return err
 			}
@@ -316,7 +332,7 @@
 		},
 	}
 	l.flags(c)
-	c.Flags().Uint64Var(&seed, "seed", 0, "draw the experiment from this seed in place of the file's")
+	d.flags(c)
 	c.Flags().StringVar(&path, "json", "", "write both results to this file as a JSON array (- for standard output)")
 	return c
 }
--- a/cmd/milldeck/main.go
+++ b/cmd/milldeck/main.go
@@ -1,4 +1,5 @@
-// Command milldeck is the operators' one command: it tries fleets out in the lab and tells what build it is.
+// Command milldeck is the operators' one command: it tries fleets out in the lab, and runs the list service and
+// its agents.
 package main
 
 import (
@@ -78,7 +79,7 @@
 	flags := root.PersistentFlags()
 	flags.StringVar(&level, "log-level", "info", "least level that is logged: debug, info, warn or error")
 	flags.StringVar(&format, "log-format", "text", "form of the log: text or json")
-	root.AddCommand(newVersion(), newLab())
+	root.AddCommand(newVersion(), newLab(), newRegistry(), newAgent())
 	return root
 }
 
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -31,6 +31,7 @@
 	DiscoveryDown FaultKind = "discovery-down" // nothing is told
 	DiscoveryLate FaultKind = "discovery-late" // MS: all is told so much later
 	DiscoveryBad  FaultKind = "discovery-bad"  // Share: so many running servers are listed as gone
+	RegistryDown  FaultKind = "registry-down"  // all replicas of the list service are killed, and started again
 	Roll          FaultKind = "roll"           // Target, Share, Steps, Reuse: servers are replaced by new ones, cold
 	Descriptors   FaultKind = "descriptors"    // Target, Share: idle connections fill the sidecars' descriptors
 )
@@ -58,7 +59,7 @@
 	Refused: {servers, "for"}, ResetUnder: {servers, "for part"}, Spoilt: {servers, "for part"},
 	Cut: {links, "for"}, Delay: {links, "for ms"}, Loss: {links, "for part"}, ZoneLost: {zones, "for"},
 	DiscoveryDown: {nobody, "for"}, DiscoveryLate: {nobody, "for ms"}, DiscoveryBad: {nobody, "for share"},
-	Roll: {servers, "for"}, Descriptors: {sidecars, "for"},
+	RegistryDown: {nobody, "for"}, Roll: {servers, "for"}, Descriptors: {sidecars, "for"},
 }
 
 // FaultKinds lists the kinds of faults by name.
@@ -106,7 +107,12 @@
 			bad(at+".ms", "%s needs milliseconds within 0 to 60000", f.Kind)
 		}
 	}
-	switch {
+	own := file.Discovery.Source == "registry"
+	switch kind := FaultKind(f.Kind); {
+	case kind == RegistryDown && !own:
+		bad(at+".kind", "%s needs discovery.source = \"registry\"", f.Kind)
+	case own && (kind == Cut || kind == DiscoveryDown || kind == DiscoveryLate || kind == DiscoveryBad):
+		bad(at+".kind", "%s needs discovery.source = \"lab\"", f.Kind)
 	case needs.who == links:
 		f.checkLinks(file, at, bad)
 	case needs.who != nobody:
--- a/internal/lab/file.go
+++ b/internal/lab/file.go
@@ -73,6 +73,8 @@
 
 // DiscoveryFile says how sidecars learn of servers.
 type DiscoveryFile struct {
+	Source   string `toml:"source"`    // "lab": its stand-in; "registry": the project's own list service, with agents
+	LeaseMS  int64  `toml:"lease_ms"`  // registry: of servers
 	Mode     string `toml:"mode"`      // "push" or "subscribe"
 	NoticeMS Range  `toml:"notice_ms"` // from a change to each sidecar's hearing of it
 	SilentMS Range  `toml:"silent_ms"` // from a server's silence to its being listed as gone
@@ -221,7 +223,7 @@
 	return &File{
 		Seed: 1, Zones: []string{"a"},
 		Network:   NetworkFile{LocalMS: fixed(0.2), CrossMS: fixed(1.5), Jitter: 0.2},
-		Discovery: DiscoveryFile{Mode: "push", NoticeMS: Range{200, 800}, SilentMS: Range{4000, 6000}},
+		Discovery: DiscoveryFile{Source: "lab", LeaseMS: 3000, Mode: "push", NoticeMS: Range{200, 800}, SilentMS: Range{4000, 6000}},
 		Sidecars:  SidecarsFile{Count: fixed(3), MemoryMB: 128, Sockets: 1024, Cores: 1},
 		Limits: LimitsFile{MaxAttempts: 3, ConnectMS: 250, Probes: true, Cancel: true, RetryAfter: true,
 			MaxRetryAfterMS: 2000},
@@ -275,6 +277,10 @@
 	if m := f.Discovery.Mode; m != "push" && m != "subscribe" {
 		bad("discovery.mode", "%q is not push or subscribe", m)
 	}
+	if src := f.Discovery.Source; src != "lab" && src != "registry" {
+		bad("discovery.source", "%q is not lab or registry", src)
+	}
+	inside("discovery.lease_ms", float64(f.Discovery.LeaseMS), 100, 3.6e6)
 	within("discovery.notice_ms", f.Discovery.NoticeMS, 0, 6e4)
 	within("discovery.silent_ms", f.Discovery.SilentMS, 0, 6e5)
 	within("sidecars.count", f.Sidecars.Count, 1, maxSidecars)
--- a/internal/lab/live/discovery.go
+++ b/internal/lab/live/discovery.go
@@ -291,6 +291,10 @@
 
 // publish tells every agent of a server, each after its own time and in order.
 func (f *fleet) publish(s *server, state string) {
+	if f.registry != nil {
+		f.registry.publish(s, state)
+		return
+	}
 	f.listMu.Lock()
 	defer f.listMu.Unlock()
 	f.rev++
@@ -304,7 +308,7 @@
 	}
 }
 
-// state is what discovery says of a server.
+// state is what discovery has been told of a server.
 func (f *fleet) state(s *server) string {
 	f.listMu.Lock()
 	defer f.listMu.Unlock()
--- a/internal/lab/live/faults.go
+++ b/internal/lab/live/faults.go
@@ -111,6 +111,8 @@
 		if ft.Kind == lab.Cut {
 			f.cut(ft, true)
 		}
+	case lab.RegistryDown:
+		f.registry.kill()
 	case lab.DiscoveryDown:
 		f.discoveryDown.Store(true)
 	case lab.DiscoveryLate:
@@ -164,6 +166,8 @@
 		if ft.Kind == lab.Cut {
 			f.cut(ft, false)
 		}
+	case lab.RegistryDown:
+		failed(ft.Label, f.registry.startAgain())
 	case lab.DiscoveryDown:
 		f.discoveryDown.Store(false)
 	case lab.DiscoveryLate:
@@ -171,8 +175,10 @@
 		f.discoveryLate -= ft.MS
 		f.listMu.Unlock()
 	}
-	for _, a := range f.agents {
-		a.catchUp()
+	if f.registry == nil {
+		for _, a := range f.agents {
+			a.catchUp()
+		}
 	}
 }
 
@@ -217,6 +223,9 @@
 
 // unlist has discovery find out, late, that a server is gone.
 func (f *fleet) unlist(s *server) {
+	if f.registry != nil {
+		return // its lease ends by itself
+	}
 	s.mu.Lock()
 	life := s.life
 	s.mu.Unlock()
@@ -274,6 +283,10 @@
 // reload moves discovery and tells the sidecar with SIGHUP.
 func (f *fleet) reload(n *node) {
 	a := f.agents[n.n]
+	if f.registry != nil {
+		n.signal(syscall.SIGHUP) // an agent stays where it is
+		return
+	}
 	a.mu.Lock()
 	err := a.move()
 	a.mu.Unlock()
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"log/slog"
 	"math"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -41,6 +40,7 @@
 // Options say how a plan is played.
 type Options struct {
 	Sidecar  string // the program; it is started once for each sidecar
+	Milldeck string // the operators' program, for the list service and its agents
 	Dir      string // for configurations and logs
 	Progress func(Progress)
 }
@@ -74,7 +74,7 @@
 	judge   *lab.Judge
 	measure *lab.Measure
 	stores  *lab.Stores
-	addrs   *addresses
+	addrs   addresses
 	net     *network
 
 	ctx    context.Context // ends with the run
@@ -82,6 +82,7 @@
 	made   time.Time
 	zero   atomic.Int64 // ns from made to the run's time 0, when all sidecars are ready
 
+	registry *listService // nil: discovery is the lab's stand-in
 	servers  []*server
 	agents   []*agent
 	nodes    []*node
@@ -103,16 +104,19 @@
 	if err := descriptors(p); err != nil {
 		return nil, err
 	}
-	addrs, err := takeAddresses()
+	block, err := proc.TakeBlock()
 	if err != nil {
 		return nil, err
 	}
 	f := &fleet{
 		plan: p, opts: opts, judge: lab.NewJudge(p, slackMS), measure: lab.NewMeasure(p), stores: lab.NewStores(),
-		addrs: addrs, net: newNetwork(), listed: map[int]string{}, rev: 1,
+		addrs: addresses{block}, net: newNetwork(), listed: map[int]string{}, rev: 1,
 	}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	f.made = time.Now()
+	if p.File.Discovery.Source == "registry" {
+		f.registry = &listService{f: f}
+	}
 	for i := range p.Servers {
 		f.servers = append(f.servers, f.newServer(i))
 	}
@@ -175,11 +179,17 @@
 			a.boots[s.n] = 0
 		}
 	}
-	for _, a := range f.agents {
-		if err := a.open(); err != nil {
+	if f.registry != nil {
+		if err := f.registry.start(ctx); err != nil {
 			return err
 		}
-		go a.receive()
+	} else {
+		for _, a := range f.agents {
+			if err := a.open(); err != nil {
+				return err
+			}
+			go a.receive()
+		}
 	}
 	for _, n := range f.nodes {
 		if err := n.start(); err != nil {
@@ -291,10 +301,13 @@
 	for _, a := range f.agents {
 		a.close()
 	}
+	if f.registry != nil {
+		f.registry.close()
+	}
 	for _, s := range f.servers {
 		s.die()
 	}
-	f.addrs.release()
+	f.addrs.Release()
 }
 
 // node is one sidecar's process.
@@ -434,48 +447,21 @@
 	}
 }
 
-// addresses is this run's own part of the loopback range, so that runs beside each other never meet.
-type addresses struct {
-	block int
-	lock  net.Listener
-}
+// addresses are this run's: its own part of the loopback range.
+type addresses struct{ *proc.Block }
 
-// Blocks of 127.B.0.0/16, and the address within one that is held for as long as it is taken.
 const (
-	firstBlock  = 64
-	lastBlock   = 126
 	sidecarPort = 8081
 	serverPort  = 10000 // plus the sidecar's number
-	lockPort    = 9999
-	hostsInNet  = 250
-	serverNets  = 16 // third byte from which on servers are; below it are sidecars and discovery
+	serverNets  = 16    // third byte from which on servers are; below it are sidecars and discovery
 )
 
-func takeAddresses() (*addresses, error) {
-	for b := firstBlock; b <= lastBlock; b++ {
-		ln, err := net.Listen("tcp4", fmt.Sprintf("127.%d.255.254:%d", b, lockPort))
-		if err == nil {
-			return &addresses{b, ln}, nil
-		}
-		if !errors.Is(err, syscall.EADDRINUSE) {
-			return nil, fmt.Errorf("loopback addresses: %w", err)
-		}
-	}
-	return nil, fmt.Errorf("loopback addresses: all of 127.%d.0.0 to 127.%d.0.0 are taken by other runs", firstBlock, lastBlock)
-}
-
-func (a *addresses) release() { a.lock.Close() }
-
-func (a *addresses) in(net, host, port int) string {
-	return fmt.Sprintf("127.%d.%d.%d:%d", a.block, net+host/hostsInNet, 1+host%hostsInNet, port)
-}
-
-func (a *addresses) sidecar(n int) string { return a.in(1, n, sidecarPort) }
+func (a addresses) sidecar(n int) string { return a.Addr(1, n, sidecarPort) }
 
-func (a *addresses) discovery(n, which int) string { return a.in(0, which, serverPort+n) }
+func (a addresses) discovery(n, which int) string { return a.Addr(0, which, serverPort+n) }
 
-func (a *addresses) server(slot, sidecar int) string {
-	return a.in(serverNets, slot, serverPort+sidecar)
+func (a addresses) server(slot, sidecar int) string {
+	return a.Addr(serverNets, slot, serverPort+sidecar)
 }
 
 // LogTail gathers the ends of all logs of a run, for a failure's report.
--- a/internal/lab/live/server.go
+++ b/internal/lab/live/server.go
@@ -54,6 +54,9 @@
 		s.ports = append(s.ports, &port{
 			addr: f.addrs.server(s.plan.Slot, i), accept: func(c net.Conn) { s.serve(c, i) },
 		})
+		if f.registry != nil {
+			break // the list service has one address for all; whose a request is, its id tells
+		}
 	}
 	return s
 }
@@ -81,6 +84,9 @@
 
 // die ends the process: its connections are reset, new ones refused.
 func (s *server) die() {
+	if s.f.registry != nil {
+		s.f.registry.keeper.Drop(s.plan.UID) // nobody renews its lease any more
+	}
 	for _, p := range s.ports {
 		p.close()
 	}
@@ -190,6 +196,11 @@
 // answer answers one request; false ends the connection.
 func (s *server) answer(ctx context.Context, c net.Conn, sidecar int, x exchange, fresh, crowded bool) bool {
 	f := s.f
+	id, err := strconv.ParseUint(x.req.Header.Get("X-Request-ID"), 16, 64)
+	known, mine := f.asked.Load(id)
+	if mine {
+		sidecar = known.(*asked).Sidecar
+	}
 	way := s.way(sidecar)
 	here, there := lab.End{Kind: lab.ServerEnd, N: s.n}, lab.End{Kind: lab.SidecarEnd, N: sidecar}
 	say := func(status int, head, body string) bool {
@@ -222,7 +233,6 @@
 		s.offer(lab.Job{Work: probeWork})
 		return say(http.StatusOK, "", "")
 	}
-	id, err := strconv.ParseUint(x.req.Header.Get("X-Request-ID"), 16, 64)
 	if err != nil {
 		return say(http.StatusNotFound, "", "")
 	}
@@ -242,7 +252,6 @@
 		over(how)
 		return true
 	}
-	known, mine := f.asked.Load(id)
 	if !mine {
 		return say(http.StatusBadRequest, "", "")
 	}
--- a/internal/lab/proc/proc.go
+++ b/internal/lab/proc/proc.go
@@ -15,6 +15,7 @@
 	"sync"
 	"syscall"
 	"time"
+	"unsafe"
 )
 
 const (
@@ -195,3 +196,16 @@
 		}
 	}
 }
+
+// Path is the program that it runs.
+func (p *Process) Path() string { return p.cmd.Path }
+
+// LimitFiles bounds the size in bytes of files that it may write from now on, as on a disk that is full.
+func (p *Process) LimitFiles(most uint64) error {
+	limit := syscall.Rlimit{Cur: most, Max: most}
+	_, _, errno := syscall.RawSyscall6(syscall.SYS_PRLIMIT64, uintptr(p.PID()), syscall.RLIMIT_FSIZE, uintptr(unsafe.Pointer(&limit)), 0, 0, 0)
+	if errno != 0 {
+		return fmt.Errorf("%s: %w", p.Name, errno)
+	}
+	return nil
+}
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -72,7 +72,7 @@
 		if f.Kind == lab.Cut {
 			e.excuse(f)
 		}
-	case lab.DiscoveryDown:
+	case lab.DiscoveryDown, lab.RegistryDown: // agents keep the last list
 		e.down = true
 		for _, n := range e.nodes {
 			if n.subscribed {
@@ -142,7 +142,7 @@
 	switch f.Kind {
 	case lab.Cut, lab.Delay, lab.Loss:
 		e.links = slices.DeleteFunc(e.links, func(g *lab.Fault) bool { return g == f })
-	case lab.DiscoveryDown:
+	case lab.DiscoveryDown, lab.RegistryDown:
 		e.down = false
 	case lab.DiscoveryLate:
 		e.late -= f.MS
--- /dev/null
+++ b/internal/registry/record.go
@@ -0,0 +1,166 @@
+// Package registry is the project's own discovery: a replicated list of server instances with leases, watches and
+// one revision. Its core is a state machine without sockets or clocks (State), which hashicorp/raft drives from
+// its log; the revision of a change is the index of its log entry, so it is the list's version, the cursor of a
+// watch and a fencing token at once. A Replica puts it behind HTTP, a Client talks to any of the replicas.
+package registry
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Target is an instance in the form in which PROTOCOL's discovery lists it.
+type Target struct {
+	UID      string  `json:"uid"`
+	Endpoint string  `json:"endpoint"`
+	Zone     string  `json:"az"`
+	Model    string  `json:"model"`
+	Pod      int     `json:"pod_group"`
+	State    string  `json:"state"`
+	Capacity float64 `json:"capacity_hint"`
+	BootMS   float64 `json:"boot_ms"` // Unix ms of its last start; 0: long ago
+}
+
+// The states of PROTOCOL. Gone appears only among changes.
+const (
+	Ready       = "Ready"
+	Terminating = "Terminating"
+	Gone        = "Gone"
+)
+
+// List is PROTOCOL's list or change, with the epoch of the cluster that told it; who does not know the field
+// skips it.
+type List struct {
+	Rev     uint64   `json:"rev"`
+	All     bool     `json:"all"`
+	Targets []Target `json:"targets"`
+	Epoch   uint64   `json:"epoch,omitempty"`
+}
+
+// Instance is a target as it is registered.
+type Instance struct {
+	Target
+	TTLMS   int64  `json:"ttl_ms"` // lease; 0: it never ends by itself
+	Rev     uint64 `json:"rev"`    // of its last change
+	Suspect bool   `json:"suspect,omitempty"`
+}
+
+// Bounds of what a writer may ask for.
+const (
+	maxName      = 128
+	maxHint      = 1000        // capacity_hint beyond it is no size
+	minTTLMS     = 100         // shorter than this no renewal could keep up
+	maxTTLMS     = 3600 * 1000 // longer than an hour is no lease
+	maxInstances = 100_000
+	maxBatch     = 10_000 // instances in one write
+)
+
+// FieldError is what is wrong with a write: the field and why, in one line.
+type FieldError struct{ Field, Why string }
+
+func (e *FieldError) Error() string { return e.Field + ": " + e.Why }
+
+func bad(field, format string, args ...any) error {
+	return &FieldError{field, fmt.Sprintf(format, args...)}
+}
+
+// check tells which field of an instance cannot be.
+func (i *Instance) check() error {
+	switch {
+	case i.UID == "" || len(i.UID) > maxName:
+		return bad("uid", "%d characters, wanted 1 to %d", len(i.UID), maxName)
+	case i.State != Ready && i.State != Terminating:
+		return bad("state", "%q is not %s or %s", i.State, Ready, Terminating)
+	case !(i.Capacity > 0 && i.Capacity <= maxHint):
+		return bad("capacity_hint", "%v is not above 0 and at most %d", i.Capacity, maxHint)
+	case !(i.BootMS >= 0 && i.BootMS < 1e15):
+		return bad("boot_ms", "%v is no time", i.BootMS)
+	case i.TTLMS != 0 && (i.TTLMS < minTTLMS || i.TTLMS > maxTTLMS):
+		return bad("ttl_ms", "%d is not 0 or within %d to %d", i.TTLMS, minTTLMS, maxTTLMS)
+	case len(i.Zone) > maxName:
+		return bad("az", "over %d characters", maxName)
+	case len(i.Model) > maxName:
+		return bad("model", "over %d characters", maxName)
+	}
+	addr, err := netip.ParseAddrPort(i.Endpoint)
+	if err != nil || addr.Port() == 0 || addr.Addr().IsUnspecified() || addr.Addr().IsMulticast() {
+		return bad("endpoint", "%q is no address and port", i.Endpoint)
+	}
+	return nil
+}
+
+// Op is what a record does.
+type Op string
+
+// The operations of the log.
+const (
+	OpRegister   Op = "register"   // Instances
+	OpState      Op = "state"      // Refs, State
+	OpDeregister Op = "deregister" // Refs
+	OpExpire     Op = "expire"     // Refs: those whose leases ended, if they have not changed since
+	OpSuspect    Op = "suspect"    // Refs, On: held back from expiry, or no longer
+	OpEpoch      Op = "epoch"      // Epoch: this list does not continue the one before
+	OpFollow     Op = "follow"     // Instances and Refs: set and removed unchecked, by an agent that follows a registry
+)
+
+// Ref names an instance, and the revision that it must still have; 0: any.
+type Ref struct {
+	UID string `json:"uid"`
+	Rev uint64 `json:"rev,omitempty"`
+}
+
+// Record is one entry of the log. Fields of a later version that are not known here are skipped.
+type Record struct {
+	Op        Op         `json:"op"`
+	ID        string     `json:"id,omitempty"` // of the write: a repeat after a lost answer is not done twice
+	IfRev     *uint64    `json:"if_rev,omitempty"`
+	Instances []Instance `json:"instances,omitempty"`
+	Refs      []Ref      `json:"refs,omitempty"`
+	State     string     `json:"state,omitempty"`
+	On        bool       `json:"on,omitempty"`
+	Epoch     uint64     `json:"epoch,omitempty"`
+}
+
+// recordVersion is the first byte of a record; a newer one is refused, an older one read.
+const recordVersion = 1
+
+var (
+	errTorn  = errors.New("checksum does not match")
+	errNewer = errors.New("written by a newer version")
+)
+
+// Encode gives a record's bytes: version, checksum, JSON.
+func (r *Record) Encode() ([]byte, error) {
+	body, err := json.Marshal(r)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]byte, 9, 9+len(body))
+	out[0] = recordVersion
+	binary.BigEndian.PutUint64(out[1:], xxhash.Sum64(body))
+	return append(out, body...), nil
+}
+
+// DecodeRecord reads a record's bytes.
+func DecodeRecord(data []byte) (*Record, error) {
+	if len(data) < 9 {
+		return nil, fmt.Errorf("record of %d bytes: %w", len(data), errTorn)
+	}
+	if data[0] > recordVersion {
+		return nil, fmt.Errorf("record of version %d: %w", data[0], errNewer)
+	}
+	body := data[9:]
+	if binary.BigEndian.Uint64(data[1:]) != xxhash.Sum64(body) {
+		return nil, fmt.Errorf("record: %w", errTorn)
+	}
+	var r Record
+	if err := json.Unmarshal(body, &r); err != nil {
+		return nil, fmt.Errorf("record: %w", err)
+	}
+	return &r, nil
+}
