--- a/internal/registry/cluster/links.go
+++ b/internal/registry/cluster/links.go
@@ -39,7 +39,9 @@
 	if err != nil {
 		panic(err) // the block is this process's own
 	}
+	l.mu.Lock()
 	l.lns = append(l.lns, ln)
+	l.mu.Unlock()
 	l.around.Go(func() {
 		for {
 			c, err := ln.Accept()
@@ -83,7 +85,10 @@
 	defer in.Close()
 	from := -1
 	source, _, _ := net.SplitHostPort(in.RemoteAddr().String())
-	for n := range l.lns {
+	l.mu.Lock()
+	replicas := len(l.lns)
+	l.mu.Unlock()
+	for n := range replicas {
 		if host, _, _ := net.SplitHostPort(l.block.Addr(netByte, n, raftPort)); host == source {
 			from = n
 		}
