--- a/cmd/milldeck/lab.go
+++ b/cmd/milldeck/lab.go
@@ -31,7 +31,7 @@
 		Args: exactly(0),
 		RunE: func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
-	c.AddCommand(newLabSim(), newLabRun(), newLabCompare(), newLabSweep(), newLabDiff())
+	c.AddCommand(newLabSim(), newLabRun(), newLabCompare(), newLabSweep(), newLabDiff(), newLabFaults())
 	return c
 }
 
@@ -518,3 +518,86 @@
 	c.Flags().BoolVar(&asJSON, "json", false, "print one JSON object")
 	return c
 }
+
+func newLabFaults() *cobra.Command {
+	var l liveFlags
+	var seeds, mode string
+	c := &cobra.Command{
+		Use:   "faults FILE",
+		Short: "Plays each kind of fault of an experiment alone, and counts the rules broken",
+		Long: "faults plays an experiment once for each kind of fault that it has, with that kind alone, over some seeds, and\n" +
+			"prints kinds by rules broken.\n\n" + exitHelp,
+		Example: "  milldeck lab faults experiments/faults.toml --seeds 1-10",
+		Args:    exactly(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			list, err := parseSeeds(seeds)
+			if err != nil {
+				return usageError{err}
+			}
+			if mode != "sim" && mode != "run" {
+				return usageError{fmt.Errorf("--mode %s: not sim or run", mode)}
+			}
+			f, err := lab.Load(args[0])
+			if err != nil {
+				return err
+			}
+			return faultTable(c.Context(), c.OutOrStdout(), f, list, func(ctx context.Context, p *lab.Plan) (*lab.Result, error) {
+				if mode == "run" {
+					return l.play(ctx, p, nil)
+				}
+				r, _, err := sim.Run(ctx, p, sim.Options{})
+				return r, err
+			})
+		},
+	}
+	l.flags(c)
+	c.Flags().StringVar(&seeds, "seeds", "1-10", "seeds, as 1-20 or 3,5,8")
+	c.Flags().StringVar(&mode, "mode", "sim", "sim or run")
+	return c
+}
+
+// faultTable plays each kind of fault alone and writes one row of Markdown for each.
+func faultTable(ctx context.Context, w io.Writer, f *lab.File, seeds []uint64, play func(context.Context, *lab.Plan) (*lab.Result, error)) error {
+	byKind := map[string][]lab.FaultFile{}
+	for _, ft := range f.Faults {
+		byKind[ft.Kind] = append(byKind[ft.Kind], ft)
+	}
+	fmt.Fprint(w, "| fault | worth served | worst seed |")
+	for _, rule := range lab.Rules {
+		fmt.Fprintf(w, " %s |", rule)
+	}
+	fmt.Fprintf(w, "\n| --- | --- | --- |%s\n", strings.Repeat(" --- |", len(lab.Rules)))
+	broken := 0
+	for _, kind := range lab.FaultKinds() {
+		if len(byKind[kind]) == 0 {
+			continue
+		}
+		alone := *f
+		alone.Faults = byKind[kind]
+		counts, sum, worst := map[lab.Rule]int{}, 0.0, 1.0
+		for _, seed := range seeds {
+			r, err := play(ctx, alone.Draw(seed))
+			if err != nil {
+				return fmt.Errorf("%s, seed %d: %w", kind, seed, err)
+			}
+			if ctx.Err() != nil {
+				return errors.New("cut short")
+			}
+			sum += r.WorthShare
+			worst = min(worst, r.WorthShare)
+			for rule, n := range r.RuleCounts {
+				counts[rule] += n
+				broken += n
+			}
+		}
+		fmt.Fprintf(w, "| `%s` | %.4f | %.4f |", kind, sum/float64(len(seeds)), worst)
+		for _, rule := range lab.Rules {
+			fmt.Fprintf(w, " %d |", counts[rule])
+		}
+		fmt.Fprintln(w)
+	}
+	if broken > 0 {
+		return fmt.Errorf("%s: %d rule(s) broken", f.Name, broken)
+	}
+	return nil
+}
--- a/cmd/milldeck/registry.go
+++ b/cmd/milldeck/registry.go
@@ -224,10 +224,10 @@
 
 func newWatch() *cobra.Command {
 	var after, epoch uint64
-	c := asks("watch", "Prints each change as it comes, until an interrupt", 0, nil)
 	a := &asking{}
-	c = &cobra.Command{
-		Use: c.Use, Short: c.Short, Long: c.Long, Args: exactly(0),
+	c := &cobra.Command{
+		Use: "watch", Short: "Prints each change as it comes, until an interrupt", Args: exactly(0),
+		Long: "watch prints each change as it comes, until an interrupt; it follows another replica when one fails.\n\n" + exitHelp,
 		RunE: func(c *cobra.Command, _ []string) error {
 			return a.with(c, func(_ context.Context, client *registry.Client) error {
 				return watch(c, a, client, after, epoch)
@@ -269,10 +269,9 @@
 func newRegister() *cobra.Command {
 	var i registry.Instance
 	var hold bool
-	c := asks("register UID ENDPOINT", "Registers an instance", 2, nil)
 	a := &asking{}
-	c = &cobra.Command{
-		Use: c.Use, Short: c.Short, Args: exactly(2),
+	c := &cobra.Command{
+		Use: "register UID ENDPOINT", Short: "Registers an instance", Args: exactly(2),
 		Long: "register registers an instance. With --hold it renews the lease until an interrupt and deregisters then.\n\n" + exitHelp,
 		RunE: func(c *cobra.Command, args []string) error {
 			i.UID, i.Endpoint, i.State = args[0], args[1], registry.Ready
--- a/internal/lab/file.go
+++ b/internal/lab/file.go
@@ -6,7 +6,6 @@
 package lab
 
 import (
-	"errors"
 	"fmt"
 	"math"
 	"strconv"
@@ -482,5 +481,3 @@
 	}
 	return -1
 }
-
-var errNoTarget = errors.New("no such target")
--- a/internal/lab/plan.go
+++ b/internal/lab/plan.go
@@ -21,8 +21,6 @@
 	Sidecars []SidecarPlan
 	Classes  []ClassPlan
 	Faults   []Fault
-
-	zoneSkewed []float64 // traffic of each sidecar as a part of all, at the start
 }
 
 // ServerPlan is one server, of which those that come by a roll are born later.
@@ -267,15 +265,6 @@
 	return out
 }
 
-// Capacity is what the standing servers do together when warm, in ms of standard work a ms.
-func (p *Plan) Capacity() float64 {
-	sum := 0.0
-	for _, i := range p.standing() {
-		sum += p.Servers[i].Speed * float64(p.Servers[i].Kind.Cores)
-	}
-	return sum
-}
-
 // Settings is the JSON object that sidecar n is told, in the form of the wire.
 func (p *Plan) Settings(n int) []byte {
 	f := p.File
--- a/internal/lab/sim/sim_test.go
+++ b/internal/lab/sim/sim_test.go
@@ -75,130 +75,19 @@
 	return r
 }
 
-// everyFault is one of each kind, one after the other.
-const everyFault = `
-[[fault]]
-kind = "slow"
-target = "server:0"
-by = 5
-at_s = 0.5
-for_s = 2
-[[fault]]
-kind = "errors"
-target = "server:1"
-part = 0.5
-at_s = 0.5
-for_s = 2
-[[fault]]
-kind = "silent"
-target = "server:2"
-at_s = 1
-for_s = 1
-[[fault]]
-kind = "refused"
-target = "server:3"
-at_s = 1
-for_s = 1
-[[fault]]
-kind = "reset"
-target = "server:4"
-part = 0.3
-at_s = 2
-for_s = 1
-[[fault]]
-kind = "spoilt"
-target = "server:5"
-part = 0.3
-at_s = 2
-for_s = 1
-[[fault]]
-kind = "cut"
-between = ["zone:a", "zone:b"]
-direction = "there"
-at_s = 3
-for_s = 1
-[[fault]]
-kind = "delay"
-between = ["sidecars", "server:6"]
-ms = 80
-at_s = 3
-for_s = 1
-[[fault]]
-kind = "loss"
-between = ["sidecars", "servers"]
-part = 0.05
-at_s = 4
-for_s = 0.5
-[[fault]]
-kind = "zone-lost"
-target = "zone:b"
-at_s = 5
-for_s = 1
-[[fault]]
-kind = "kill"
-target = "sidecar:0"
-at_s = 6
-for_s = 0.5
-[[fault]]
-kind = "kill"
-target = "server:0"
-at_s = 6
-for_s = 1
-[[fault]]
-kind = "freeze"
-target = "sidecar:1"
-at_s = 6.5
-for_s = 0.7
-[[fault]]
-kind = "freeze"
-target = "server:1"
-at_s = 6.5
-for_s = 0.7
-[[fault]]
-kind = "restart"
-target = "sidecars"
-steps = 2
-at_s = 7
-for_s = 2
-[[fault]]
-kind = "restart"
-target = "server:2"
-at_s = 7
-[[fault]]
-kind = "reload"
-target = "sidecars"
-at_s = 8
-[[fault]]
-kind = "discovery-down"
-at_s = 8
-for_s = 1
-[[fault]]
-kind = "discovery-late"
-ms = 500
-at_s = 9
-for_s = 1
-[[fault]]
-kind = "discovery-bad"
-share = 0.2
-at_s = 9
-for_s = 0.5
-[[fault]]
-kind = "roll"
-target = "server:4-5"
-steps = 2
-reuse = true
-at_s = 8
-for_s = 2
-[[fault]]
-kind = "descriptors"
-target = "sidecar:2"
-at_s = 10
-for_s = 1
-`
+// everyFault is one of each kind, as experiments/faults.toml has them.
+func everyFault(t *testing.T, seed uint64) *lab.Plan {
+	t.Helper()
+	f, err := lab.Load("../../../experiments/faults.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f.Draw(seed)
+}
 
 func TestTheModuleKeepsTheRulesUnderEveryFault(t *testing.T) {
 	for seed := range uint64(10) {
-		r := play(t, plan(t, everyFault, seed+1), Options{})
+		r := play(t, everyFault(t, seed+1), Options{})
 		if r.BrokenRules > 0 || r.Requests < 3000 || r.ServedShare < 0.5 {
 			t.Errorf("seed %d: %d requests, %.3f served, rules broken: %+v", seed+1, r.Requests, r.ServedShare, r.Broken)
 		}
@@ -208,7 +97,7 @@
 func TestTheSameBytesWithAnyNumberOfWorkers(t *testing.T) {
 	var first []byte
 	for _, workers := range []int{1, 6, 6, 3} {
-		data, err := json.Marshal(play(t, plan(t, everyFault, 5), Options{Workers: workers}))
+		data, err := json.Marshal(play(t, everyFault(t, 5), Options{Workers: workers}))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -353,7 +242,7 @@
 
 func TestBaselinesKeepTheRulesOnRepeats(t *testing.T) {
 	for _, policy := range Policies()[1:] {
-		r := play(t, plan(t, everyFault, 2), Options{Policy: policy})
+		r := play(t, everyFault(t, 2), Options{Policy: policy})
 		for _, rule := range []lab.Rule{lab.RuleTwice, lab.RuleParallel, lab.RuleDrain, lab.RuleAnswer} {
 			if r.RuleCounts[rule] > 0 {
 				t.Errorf("%s breaks rule %s: %+v", policy, rule, r.Broken[0])
--- a/internal/registry/http.go
+++ b/internal/registry/http.go
@@ -244,18 +244,20 @@
 	return nil
 }
 
-func (r *Replica) serveRegister(w http.ResponseWriter, req *http.Request) {
-	var in struct {
-		ID      string     `json:"id"`
-		IfRev   *uint64    `json:"if_rev"`
-		Targets []Instance `json:"targets"`
-	}
-	if !body(w, req, &in) {
-		return
+// registration is the body of a register call.
+type registration struct {
+	ID      string     `json:"id"`
+	IfRev   *uint64    `json:"if_rev"`
+	Targets []Instance `json:"targets"`
+}
+
+// record checks a registration and makes the record of it, and the uids that it is about.
+func (in *registration) record() (*Record, []string, error) {
+	if err := writeID(in.ID); err != nil {
+		return nil, nil, err
 	}
-	err := writeID(in.ID)
-	if err == nil && (len(in.Targets) == 0 || len(in.Targets) > maxBatch) {
-		err = bad("targets", "%d entries, wanted 1 to %d", len(in.Targets), maxBatch)
+	if len(in.Targets) == 0 || len(in.Targets) > maxBatch {
+		return nil, nil, bad("targets", "%d entries, wanted 1 to %d", len(in.Targets), maxBatch)
 	}
 	var uids []string
 	for k := range in.Targets {
@@ -267,18 +269,25 @@
 			t.Capacity = 1
 		}
 		t.Rev, t.Suspect = 0, false
-		if err == nil {
-			if err = t.check(); err != nil {
-				err = fmt.Errorf("targets[%d].%w", k, err)
-			}
+		if err := t.check(); err != nil {
+			return nil, nil, fmt.Errorf("targets[%d].%w", k, err)
 		}
 		uids = append(uids, t.UID)
 	}
+	return &Record{Op: OpRegister, ID: in.ID, IfRev: in.IfRev, Instances: in.Targets}, uids, nil
+}
+
+func (r *Replica) serveRegister(w http.ResponseWriter, req *http.Request) {
+	var in registration
+	if !body(w, req, &in) {
+		return
+	}
+	rec, uids, err := in.record()
 	if err != nil {
 		refuse(w, http.StatusBadRequest, err)
 		return
 	}
-	r.done(w, &Record{Op: OpRegister, ID: in.ID, IfRev: in.IfRev, Instances: in.Targets}, uids)
+	r.done(w, rec, uids)
 }
 
 func (r *Replica) serveDeregister(w http.ResponseWriter, req *http.Request) {
@@ -520,5 +529,3 @@
 	slog.Warn("restored from a backup, under a new epoch", "rev", res.Rev)
 	answer(w, http.StatusOK, res)
 }
-
-func newReader(data []byte) io.Reader { return bytes.NewReader(data) }
--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"encoding/binary"
@@ -577,7 +578,7 @@
 		return Result{}, err
 	}
 	meta := &raft.SnapshotMeta{Version: raft.SnapshotVersionMax, Index: s.applied, Term: 1, Size: int64(len(buf.data))}
-	if err := r.raft.Restore(meta, newReader(buf.data), applyWait); err != nil {
+	if err := r.raft.Restore(meta, bytes.NewReader(buf.data), applyWait); err != nil {
 		return Result{}, err
 	}
 	res, err := r.write(&Record{Op: OpEpoch, Epoch: newEpoch()})
--- a/internal/registry/state_test.go
+++ b/internal/registry/state_test.go
@@ -312,6 +312,34 @@
 	})
 }
 
+func FuzzWriteBody(f *testing.F) {
+	f.Add([]byte(`{"id":"w","if_rev":3,"targets":[{"uid":"a","endpoint":"127.0.0.1:1","state":"Ready","capacity_hint":1,"ttl_ms":1000}]}`))
+	f.Add([]byte(`{"targets":[{"uid":"a","endpoint":"0.0.0.0:1","capacity_hint":1e999}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var in registration
+		if json.Unmarshal(data, &in) != nil {
+			return
+		}
+		rec, _, err := in.record()
+		if err != nil {
+			return
+		}
+		// What passes the checks goes through the log and comes out as it was.
+		bytes, err := rec.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		back, err := DecodeRecord(bytes)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := NewState()
+		if res := s.Apply(1, back); res.Outcome == Done && s.Len() == 0 {
+			t.Fatalf("%s is done and registers nobody", data)
+		}
+	})
+}
+
 func FuzzSnapshot(f *testing.F) {
 	s := NewState()
 	s.Apply(3, &Record{Op: OpRegister, ID: "w", Instances: []Instance{target("a", 1, 0)}})
