--- a/internal/lab/live/server.go
+++ b/internal/lab/live/server.go
@@ -21,7 +21,7 @@
 	maxRequestBody = 64 << 10 // PROTOCOL
 	closeWait      = time.Second
 
-	connectionClosed = "its connection was closed"
+	connectionClosed = "given up" // its sidecar closed the connection
 )
 
 // server is the stand-in for one server: its model behind real sockets. It has a port for each sidecar, so that
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -174,7 +174,10 @@
 	color.RGBA{86, 180, 233, 255}, color.RGBA{230, 159, 0, 255}, color.RGBA{60, 60, 60, 255}, color.RGBA{160, 160, 0, 255},
 }
 
-const plotWidth, plotHeight = 18 * vg.Centimeter, 7 * vg.Centimeter
+const (
+	plotWidth, plotHeight = 18 * vg.Centimeter, 7 * vg.Centimeter
+	legendRoom            = 1.3 // of the highest value, so that the legend hides no line
+)
 
 func draw(path, title, unit string, r *lab.Result, lines []series) error {
 	p := plot.New()
@@ -209,12 +212,13 @@
 		if err != nil {
 			return err
 		}
-		box.Color = color.RGBA{200, 60, 60, 40}
+		box.Color = color.NRGBA{200, 60, 60, 50} // RGBA would want its parts multiplied
 		box.LineStyle.Width = 0
 		p.Add(box)
 	}
 	for _, l := range drawn {
 		p.Add(l)
 	}
+	p.Y.Min, p.Y.Max = 0, legendRoom*highest
 	return p.Save(plotWidth, plotHeight, path)
 }
