--- a/cmd/milldeck/lab.go
+++ b/cmd/milldeck/lab.go
@@ -81,6 +81,10 @@
 	if r.BrokenRules > 0 {
 		return fmt.Errorf("%s, seed %d: %d rule(s) broken", r.Name, r.Seed, r.BrokenRules)
 	}
+	if r.Overloaded {
+		return fmt.Errorf("%s: this machine cannot play the load: it was %.0f ms late (99th percentile) and sent %d requests too late; the sidecars are not judged",
+			r.Name, r.Lateness, r.LabLate)
+	}
 	if r.Cut {
 		return errors.New("cut short")
 	}
--- a/internal/lab/judge_test.go
+++ b/internal/lab/judge_test.go
@@ -147,6 +147,20 @@
 	}
 }
 
+func TestALabThatIsLateJudgesNobody(t *testing.T) {
+	for _, c := range []struct {
+		lateness float64
+		labLate  int
+		want     bool
+	}{{1, 0, false}, {1, 4, false}, {30, 0, true}, {1, 50, true}} {
+		r := Result{Counts: Counts{Requests: 1000, LabLate: c.labLate}, Lateness: c.lateness, BrokenRules: 7}
+		r.overload()
+		if r.Overloaded != c.want || (r.BrokenRules == 0) != c.want || r.BrokenRules+r.NotCounted != 7 {
+			t.Errorf("%+v: %+v", c, r)
+		}
+	}
+}
+
 func TestTheJudgeForgetsWhatIsOver(t *testing.T) {
 	j := NewJudge(tinyPlan(t), 50)
 	for id := range uint64(100_000) {
--- a/internal/lab/measure.go
+++ b/internal/lab/measure.go
@@ -202,6 +202,8 @@
 	CrossShare  float64 `json:"cross_zone_share"`
 
 	BrokenRules int            `json:"broken_rules"`
+	Overloaded  bool           `json:"overloaded,omitempty"`  // the lab's own machine could not play the load
+	NotCounted  int            `json:"not_counted,omitempty"` // broken rules of such a run, which tell of no sidecar
 	RuleCounts  map[Rule]int   `json:"rules"`
 	Broken      []Broken       `json:"broken,omitempty"`
 	ByResult    map[string]int `json:"attempts_by_result"`
@@ -253,6 +255,7 @@
 	for _, n := range counts {
 		r.BrokenRules += n
 	}
+	r.overload()
 	asked, served := 0.0, 0.0
 	for i := range m.classes {
 		c := &m.classes[i]
@@ -276,6 +279,21 @@
 	return r
 }
 
+// Limits of what the lab's own machine may be late for a run to tell of sidecars.
+const (
+	mostLateMS   = 20.0  // the 99th percentile of its own lateness
+	mostLateSent = 0.005 // of the requests, sent too late to count
+)
+
+// overload takes back what a run says of sidecars when the lab's own machine could not play it.
+func (r *Result) overload() {
+	sent := float64(r.Requests + r.LabLate)
+	if r.Lateness <= mostLateMS && float64(r.LabLate) <= mostLateSent*sent {
+		return
+	}
+	r.Overloaded, r.NotCounted, r.BrokenRules, r.Broken = true, r.BrokenRules, 0, nil
+}
+
 func quantile(h *hdrhistogram.Histogram, q float64) float64 {
 	if h.TotalCount() == 0 {
 		return 0
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -40,7 +40,11 @@
 	row("latency", "p50 %.1f ms, p90 %.1f ms, p99 %.1f ms, p99.9 %.1f ms", r.P50, r.P90, r.P99, r.P999)
 	row("attempts at servers", "%.2f for each try; %d retries, %d new connections, %.1f%% to another zone",
 		float64(r.Attempts)/math.Max(float64(r.Tries), 1), r.Retries, r.Handshakes, 100*r.CrossShare)
-	row("rules broken", "%d%s", r.BrokenRules, ruleList(r))
+	if r.Overloaded {
+		row("rules broken", "not judged: this machine cannot play the load, so nothing here tells of the sidecars")
+	} else {
+		row("rules broken", "%d%s", r.BrokenRules, ruleList(r))
+	}
 	if r.Mode == "run" {
 		row("lateness of the lab", "p99 %.1f ms, at most %.1f ms%s", r.Lateness, r.LatenessMax, tooLate(r))
 	}
@@ -75,7 +79,7 @@
 	if r.LabLate == 0 {
 		return ""
 	}
-	return fmt.Sprintf("; %d requests left out: this machine cannot generate the load", r.LabLate)
+	return fmt.Sprintf("; %d requests left out, sent too late by the lab itself", r.LabLate)
 }
 
 func ruleList(r *lab.Result) string {
