--- a/cmd/milldeck/lab.go
+++ b/cmd/milldeck/lab.go
@@ -341,9 +341,46 @@
 	return c
 }
 
+// many are the flags of what is played on many seeds, in either mode.
+type many struct {
+	liveFlags
+	seeds, mode, policy string
+}
+
+func (m *many) flags(c *cobra.Command) {
+	m.liveFlags.flags(c)
+	c.Flags().StringVar(&m.seeds, "seeds", "1-10", "seeds, as 1-20 or 3,5,8")
+	c.Flags().StringVar(&m.mode, "mode", "sim", "sim or run")
+	c.Flags().StringVar(&m.policy, "policy", sim.Module, "in sim, what decides")
+}
+
+// player plays one plan of many.
+type player func(context.Context, *lab.Plan) (*lab.Result, error)
+
+// parse gives the seeds and what plays them.
+func (m *many) parse() ([]uint64, player, error) {
+	list, err := parseSeeds(m.seeds)
+	if err != nil {
+		return nil, nil, usageError{err}
+	}
+	switch {
+	case !slices.Contains(sim.Policies(), m.policy):
+		return nil, nil, usageError{fmt.Errorf("--policy %s: not %s", m.policy, strings.Join(sim.Policies(), ", "))}
+	case m.mode == "run":
+		return list, func(ctx context.Context, p *lab.Plan) (*lab.Result, error) { return m.play(ctx, p, nil) }, nil
+	case m.mode == "sim":
+		return list, func(ctx context.Context, p *lab.Plan) (*lab.Result, error) {
+			r, _, err := sim.Run(ctx, p, sim.Options{Policy: m.policy})
+			return r, err
+		}, nil
+	default:
+		return nil, nil, usageError{fmt.Errorf("--mode %s: not sim or run", m.mode)}
+	}
+}
+
 func newLabSweep() *cobra.Command {
-	var l liveFlags
-	var seeds, mode, policy, path string
+	var m many
+	var path string
 	c := &cobra.Command{
 		Use:   "sweep FILE",
 		Short: "Plays an experiment on many seeds",
@@ -352,31 +389,19 @@
 		Example: "  milldeck lab sweep experiments/fleet.toml --seeds 1-20 --json sweep.jsonl",
 		Args:    exactly(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			list, err := parseSeeds(seeds)
+			list, play, err := m.parse()
 			if err != nil {
-				return usageError{err}
-			}
-			if mode != "sim" && mode != "run" {
-				return usageError{fmt.Errorf("--mode %s: not sim or run", mode)}
+				return err
 			}
 			f, err := lab.Load(args[0])
 			if err != nil {
 				return err
 			}
-			s := sweep{file: f, path: path, out: c.OutOrStdout(), play: func(ctx context.Context, p *lab.Plan) (*lab.Result, error) {
-				if mode == "run" {
-					return l.play(ctx, p, nil)
-				}
-				r, _, err := sim.Run(ctx, p, sim.Options{Policy: policy})
-				return r, err
-			}}
+			s := sweep{file: f, path: path, out: c.OutOrStdout(), play: play}
 			return s.run(c.Context(), list)
 		},
 	}
-	l.flags(c)
-	c.Flags().StringVar(&seeds, "seeds", "1-10", "seeds, as 1-20 or 3,5,8")
-	c.Flags().StringVar(&mode, "mode", "sim", "sim or run")
-	c.Flags().StringVar(&policy, "policy", sim.Module, "in sim, what decides")
+	m.flags(c)
 	c.Flags().StringVar(&path, "json", "", "file of results, one a line; seeds that it has are not played again")
 	return c
 }
@@ -408,7 +433,7 @@
 	file *lab.File
 	path string
 	out  io.Writer
-	play func(context.Context, *lab.Plan) (*lab.Result, error)
+	play player
 }
 
 func (s *sweep) run(ctx context.Context, seeds []uint64) error {
@@ -524,8 +549,7 @@
 }
 
 func newLabFaults() *cobra.Command {
-	var l liveFlags
-	var seeds, mode string
+	var m many
 	c := &cobra.Command{
 		Use:   "faults FILE",
 		Short: "Plays each kind of fault of an experiment alone, and counts the rules broken",
@@ -534,34 +558,23 @@
 		Example: "  milldeck lab faults experiments/faults.toml --seeds 1-10",
 		Args:    exactly(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			list, err := parseSeeds(seeds)
+			list, play, err := m.parse()
 			if err != nil {
-				return usageError{err}
-			}
-			if mode != "sim" && mode != "run" {
-				return usageError{fmt.Errorf("--mode %s: not sim or run", mode)}
+				return err
 			}
 			f, err := lab.Load(args[0])
 			if err != nil {
 				return err
 			}
-			return faultTable(c.Context(), c.OutOrStdout(), f, list, func(ctx context.Context, p *lab.Plan) (*lab.Result, error) {
-				if mode == "run" {
-					return l.play(ctx, p, nil)
-				}
-				r, _, err := sim.Run(ctx, p, sim.Options{})
-				return r, err
-			})
+			return faultTable(c.Context(), c.OutOrStdout(), f, list, play)
 		},
 	}
-	l.flags(c)
-	c.Flags().StringVar(&seeds, "seeds", "1-10", "seeds, as 1-20 or 3,5,8")
-	c.Flags().StringVar(&mode, "mode", "sim", "sim or run")
+	m.flags(c)
 	return c
 }
 
 // faultTable plays each kind of fault alone and writes one row of Markdown for each.
-func faultTable(ctx context.Context, w io.Writer, f *lab.File, seeds []uint64, play func(context.Context, *lab.Plan) (*lab.Result, error)) error {
+func faultTable(ctx context.Context, w io.Writer, f *lab.File, seeds []uint64, play player) error {
 	byKind := map[string][]lab.FaultFile{}
 	for _, ft := range f.Faults {
 		byKind[ft.Kind] = append(byKind[ft.Kind], ft)
--- a/internal/lab/live/live_test.go
+++ b/internal/lab/live/live_test.go
@@ -4,38 +4,17 @@
 	"context"
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"milldeck/internal/lab"
+	"milldeck/internal/lab/proc/proctest"
 )
 
-// build makes the sidecar's program once for all tests.
-var build = sync.OnceValues(func() (string, error) {
-	dir, err := os.MkdirTemp("", "milldeck-live-")
-	if err != nil {
-		return "", err
-	}
-	path := filepath.Join(dir, "silverreel")
-	out, err := exec.Command("go", "build", "-o", path, "milldeck/cmd/silverreel").CombinedOutput()
-	if err != nil {
-		return "", fmt.Errorf("%w: %s", err, out)
-	}
-	return path, nil
-})
-
-func TestMain(m *testing.M) {
-	code := m.Run()
-	if path, err := build(); err == nil {
-		os.RemoveAll(filepath.Dir(path))
-	}
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { proctest.Main(m) }
 
 const fleetFile = `name = "live"
 seed = 4
@@ -82,12 +61,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	program, err := build()
-	if err != nil {
-		t.Fatal(err)
-	}
 	dir := t.TempDir()
-	r, err := Run(ctx, f.Draw(0), Options{Sidecar: program, Dir: dir})
+	r, err := Run(ctx, f.Draw(0), Options{Sidecar: proctest.Program(t, "silverreel"), Dir: dir})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/registry/faults_test.go
+++ b/internal/registry/faults_test.go
@@ -21,31 +21,12 @@
 	"github.com/anishathalye/porcupine"
 
 	"milldeck/internal/lab/proc"
+	"milldeck/internal/lab/proc/proctest"
 	"milldeck/internal/registry"
 	"milldeck/internal/registry/cluster"
 )
 
-// build makes the program once for all tests.
-var build = sync.OnceValues(func() (string, error) {
-	dir, err := os.MkdirTemp("", "milldeck-registry-")
-	if err != nil {
-		return "", err
-	}
-	path := filepath.Join(dir, "milldeck")
-	out, err := exec.Command("go", "build", "-o", path, "milldeck/cmd/milldeck").CombinedOutput()
-	if err != nil {
-		return "", fmt.Errorf("%w: %s", err, out)
-	}
-	return path, nil
-})
-
-func TestMain(m *testing.M) {
-	code := m.Run()
-	if path, err := build(); err == nil {
-		os.RemoveAll(filepath.Dir(path))
-	}
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { proctest.Main(m) }
 
 // limit bounds each test's waiting; hardly any needs a tenth of it.
 const limit = 150 * time.Second
@@ -62,10 +43,6 @@
 func start(t *testing.T, n int, linked bool, more string) *bed {
 	t.Helper()
 	t.Parallel()
-	program, err := build()
-	if err != nil {
-		t.Fatal(err)
-	}
 	block, err := proc.TakeBlock()
 	if err != nil {
 		t.Fatal(err)
@@ -74,7 +51,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), limit)
 	t.Cleanup(cancel)
 	b := &bed{T: t, ctx: ctx}
-	o := cluster.Options{Program: program, Dir: t.TempDir(), Block: block, More: more}
+	o := cluster.Options{Program: proctest.Program(t, "milldeck"), Dir: t.TempDir(), Block: block, More: more}
 	if linked {
 		b.links = cluster.NewLinks(block)
 		t.Cleanup(b.links.Close)
--- a/internal/registry/loss_test.go
+++ b/internal/registry/loss_test.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"os/exec"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
 	"milldeck/internal/lab"
 	"milldeck/internal/lab/live"
+	"milldeck/internal/lab/proc/proctest"
 )
 
 // 9. The whole control plane is down under load, for longer than any lease, with servers restarting and rolling
@@ -17,14 +16,6 @@
 // of a minute.
 func TestControlPlaneDownUnderLoad(t *testing.T) {
 	t.Parallel()
-	program, err := build()
-	if err != nil {
-		t.Fatal(err)
-	}
-	sidecar := filepath.Join(t.TempDir(), "silverreel")
-	if out, err := exec.Command("go", "build", "-o", sidecar, "milldeck/cmd/silverreel").CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
-	}
 	f, err := lab.Load("../../experiments/registry-loss.toml")
 	if err != nil {
 		t.Fatal(err)
@@ -46,7 +37,7 @@
 	dir := t.TempDir()
 	ctx, cancel := context.WithTimeout(t.Context(), 60*time.Second)
 	defer cancel()
-	r, err := live.Run(ctx, f.Draw(0), live.Options{Sidecar: sidecar, Milldeck: program, Dir: dir})
+	r, err := live.Run(ctx, f.Draw(0), live.Options{Sidecar: proctest.Program(t, "silverreel"), Milldeck: proctest.Program(t, "milldeck"), Dir: dir})
 	if err != nil {
 		t.Fatal(err)
 	}
