Lab: what a fault makes of a server is the model's state, in one place for both modes

The read of the change found suffer and three of five fault fields written twice, in sim and live, beside two in the model.

--- a/cmd/milldeck/lab.go
+++ b/cmd/milldeck/lab.go
@@ -357,25 +357,28 @@
 // player plays one plan of many.
 type player func(context.Context, *lab.Plan) (*lab.Result, error)
 
-// parse gives the seeds and what plays them.
-func (m *many) parse() ([]uint64, player, error) {
+// parse gives the experiment, the seeds and what plays them.
+func (m *many) parse(path string) (*lab.File, []uint64, player, error) {
 	list, err := parseSeeds(m.seeds)
 	if err != nil {
-		return nil, nil, usageError{err}
+		return nil, nil, nil, usageError{err}
 	}
+	var play player
 	switch {
 	case !slices.Contains(sim.Policies(), m.policy):
-		return nil, nil, usageError{fmt.Errorf("--policy %s: not %s", m.policy, strings.Join(sim.Policies(), ", "))}
+		return nil, nil, nil, usageError{fmt.Errorf("--policy %s: not %s", m.policy, strings.Join(sim.Policies(), ", "))}
 	case m.mode == "run":
-		return list, func(ctx context.Context, p *lab.Plan) (*lab.Result, error) { return m.play(ctx, p, nil) }, nil
+		play = func(ctx context.Context, p *lab.Plan) (*lab.Result, error) { return m.play(ctx, p, nil) }
 	case m.mode == "sim":
-		return list, func(ctx context.Context, p *lab.Plan) (*lab.Result, error) {
+		play = func(ctx context.Context, p *lab.Plan) (*lab.Result, error) {
 			r, _, err := sim.Run(ctx, p, sim.Options{Policy: m.policy})
 			return r, err
-		}, nil
+		}
 	default:
-		return nil, nil, usageError{fmt.Errorf("--mode %s: not sim or run", m.mode)}
+		return nil, nil, nil, usageError{fmt.Errorf("--mode %s: not sim or run", m.mode)}
 	}
+	f, err := lab.Load(path)
+	return f, list, play, err
 }
 
 func newLabSweep() *cobra.Command {
@@ -389,11 +392,7 @@
 		Example: "  milldeck lab sweep experiments/fleet.toml --seeds 1-20 --json sweep.jsonl",
 		Args:    exactly(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			list, play, err := m.parse()
-			if err != nil {
-				return err
-			}
-			f, err := lab.Load(args[0])
+			f, list, play, err := m.parse(args[0])
 			if err != nil {
 				return err
 			}
@@ -558,11 +557,7 @@
 		Example: "  milldeck lab faults experiments/faults.toml --seeds 1-10",
 		Args:    exactly(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			list, play, err := m.parse()
-			if err != nil {
-				return err
-			}
-			f, err := lab.Load(args[0])
+			f, list, play, err := m.parse(args[0])
 			if err != nil {
 				return err
 			}
--- a/internal/lab/live/faults.go
+++ b/internal/lab/live/faults.go
@@ -329,22 +329,7 @@
 
 // suffer begins or ends what makes a server answer badly.
 func (s *server) suffer(ft *lab.Fault, on bool) {
-	part, by := 0.0, 1.0
-	if on {
-		part, by = ft.Part, ft.By
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch ft.Kind {
-	case lab.Slow:
-		s.model.Slow = by
-	case lab.FastErrors:
-		s.model.Errors = part
-	case lab.Silent:
-		s.silent = on
-	case lab.ResetUnder:
-		s.resets = part
-	case lab.Spoilt:
-		s.spoils = part
-	}
+	s.model.Suffer(ft, on)
 }
--- a/internal/lab/live/server.go
+++ b/internal/lab/live/server.go
@@ -32,17 +32,14 @@
 	plan  *lab.ServerPlan
 	ports []*port // by sidecar
 
-	mu     sync.Mutex
-	model  *lab.Server
-	timer  *time.Timer
-	up     bool
-	life   int
-	boot   float64 // ms; 0: from the start
-	conns  map[net.Conn]struct{}
-	asks   map[int64]chan lab.Ended
-	silent bool
-	resets float64
-	spoils float64
+	mu    sync.Mutex
+	model *lab.Server
+	timer *time.Timer
+	up    bool
+	life  int
+	boot  float64 // ms; 0: from the start
+	conns map[net.Conn]struct{}
+	asks  map[int64]chan lab.Ended
 }
 
 func (f *fleet) newServer(n int) *server {
@@ -288,7 +285,7 @@
 	case end = <-result:
 	}
 	s.mu.Lock()
-	silent, resets, spoils := s.silent, s.resets, s.spoils
+	silent, resets, spoils := s.model.Silent, s.model.Resets, s.model.Spoils
 	s.mu.Unlock()
 	switch {
 	case silent:
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -70,9 +70,11 @@
 
 	pressure [fallParts]pressed
 
-	// Slow is the factor by which a fault slows it down, at least 1; Errors the part of requests that a fault
-	// makes it fail at once.
-	Slow, Errors float64
+	// What faults make of it, which lasts through its lives: Slow is the factor by which it is slower, at least 1;
+	// Errors, Resets and Spoils are the parts of requests that it fails at once, or answers with a broken connection
+	// or noise; Silent has it take requests and say nothing. The last three are for whoever sends its answers.
+	Slow, Errors, Resets, Spoils float64
+	Silent                       bool
 }
 
 type ending struct {
@@ -113,6 +115,26 @@
 	s.Slow = max(s.Slow, 1)
 }
 
+// Suffer begins or ends a fault that makes the server answer badly; other faults are nothing to it.
+func (s *Server) Suffer(f *Fault, on bool) {
+	part, by := 0.0, 1.0
+	if on {
+		part, by = f.Part, f.By
+	}
+	switch f.Kind {
+	case Slow:
+		s.Slow = by
+	case FastErrors:
+		s.Errors = part
+	case Silent:
+		s.Silent = on
+	case ResetUnder:
+		s.Resets = part
+	case Spoilt:
+		s.Spoils = part
+	}
+}
+
 // Fallen tells whether it was pushed over while it was cold; it stays down then.
 func (s *Server) Fallen() bool { return s.fallen }
 
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -50,7 +50,7 @@
 				e.change(now, h, balance.Gone)
 			}
 		default:
-			h.suffer(f, true)
+			h.model.Suffer(f, true)
 		}
 	}
 	for _, i := range f.Sidecars {
@@ -127,7 +127,7 @@
 				e.change(now, h, balance.Ready)
 			}
 		default:
-			h.suffer(f, false)
+			h.model.Suffer(f, false)
 		}
 	}
 	for _, i := range f.Sidecars {
@@ -153,23 +153,3 @@
 		}
 	}
 }
-
-// suffer begins or ends what makes a server answer badly.
-func (h *host) suffer(f *lab.Fault, on bool) {
-	part, by := 0.0, 1.0
-	if on {
-		part, by = f.Part, f.By
-	}
-	switch f.Kind {
-	case lab.Slow:
-		h.model.Slow = by
-	case lab.FastErrors:
-		h.model.Errors = part
-	case lab.Silent:
-		h.silent = on
-	case lab.ResetUnder:
-		h.resets = part
-	case lab.Spoilt:
-		h.spoils = part
-	}
-}
--- a/internal/lab/sim/host.go
+++ b/internal/lab/sim/host.go
@@ -25,9 +25,6 @@
 	vanished bool // its machine says nothing
 	frozen   bool
 	refuses  bool
-	silent   bool
-	resets   float64 // part of the answers in whose place the connection breaks
-	spoils   float64
 	listed   bool // discovery has it, ready
 	boot     float64
 
@@ -136,7 +133,7 @@
 	}
 	att := h.out[end.Attempt]
 	delete(h.out, end.Attempt)
-	if att == nil || !att.live || h.silent {
+	if att == nil || !att.live || h.model.Silent {
 		return
 	}
 	switch {
@@ -144,7 +141,7 @@
 		h.back(now, att, balance.Full)
 	case end.How == lab.Errored:
 		h.back(now, att, balance.Failed)
-	case h.resets > 0 && e.rng.Float64() < h.resets, h.spoils > 0 && e.rng.Float64() < h.spoils:
+	case h.model.Resets > 0 && e.rng.Float64() < h.model.Resets, h.model.Spoils > 0 && e.rng.Float64() < h.model.Spoils:
 		h.back(now, att, balance.Reset) // of a spoilt answer the sidecar closes the connection
 	default:
 		e.judge.Made(now, end.Request, h.n)
