A pick whose cost does not grow with the fleet: key orders and sums of weights are kept

What changed is marked and looked at before the next pick. Requests are used again; events may come by pointer.

One thing differs: a sidecar that keeps to few servers of each key gives them their turns when they are next looked at.

--- a/balance/affinity.go
+++ b/balance/affinity.go
@@ -20,32 +20,73 @@
 // meets each server seldom keeps to the first of them in its own order: so it needs few connections and soon
 // knows the servers that it uses, and the orders of all sidecars even out the load. Where none is free, more
 // come in (bounded load).
-func (b *Balancer) shard(key uint64, free func(*server) bool) []*server {
-	all := b.entered
-	for _, s := range all {
-		u := float64(mix(mix(key)^uint64(s.ID))>>11+1) / (1 << 53)
-		s.place = -math.Log(u) / s.Rating
-	}
-	slices.SortFunc(all, byPlace)
-	most := len(all) / keyFleet
-	n := max(keyServers, most, int(math.Ceil(b.keys.share(key)*float64(len(all))/keyPart)))
-	n = min(n, len(all))
-	if most > keyServers && b.seldom() {
+func (b *Balancer) shard(key uint64) []*server {
+	count := b.choice()
+	most := count / keyFleet
+	n := max(keyServers, most, int(math.Ceil(b.keys.share(key)*float64(count)/keyPart)))
+	n = min(n, count)
+	b.entered = b.entered[:0]
+	order, next := b.order(key, n), 0
+	next = b.collect(order, next, n)
+	if b.narrow() {
 		// Weighted rendezvous again: errors and cold take keys off a server. Its size counts above.
-		for _, s := range all[:n] {
-			s.place = s.rank * s.Rating / s.weight
+		least := 0
+		for i, s := range b.entered {
+			if s.place = s.rank * s.Rating / s.weight; s.place < b.entered[least].place {
+				least = i
+			}
 		}
-		slices.SortFunc(all[:n], byPlace)
+		if s := b.entered[least]; b.free(s) {
+			b.entered[0] = s
+			return b.entered[:1]
+		}
+		slices.SortFunc(b.entered, byPlace)
 		n = 1
 	}
-	if !slices.ContainsFunc(all[:n], free) {
-		if more := slices.IndexFunc(all[n:], free); more >= 0 {
-			n += more + 1
-		} else {
-			n = len(all)
+	for i := 0; ; i++ {
+		if i == len(b.entered) {
+			if next = b.collect(order, next, 2*i); i == len(b.entered) {
+				return b.entered // none is free
+			}
+		}
+		if b.free(b.entered[i]) {
+			return b.entered[:max(n, i+1)]
+		}
+	}
+}
+
+// choice is how many servers a first pick by key chooses from.
+func (b *Balancer) choice() int {
+	if b.allRest {
+		return len(b.entered)
+	}
+	return b.rot.n
+}
+
+// narrow: of the servers of a key only the first few in this sidecar's own order are used.
+func (b *Balancer) narrow() bool { return b.choice()/keyFleet > keyServers && b.seldom() }
+
+func (b *Balancer) free(s *server) bool { return b.mayTake(s) && !b.over(s) }
+
+// collect goes on through a key's order, from its place next, until n servers of the rotation are listed, and
+// returns the place after them.
+func (b *Balancer) collect(order *keyOrder, next, n int) int {
+	for ; len(b.entered) < n; next++ {
+		if next == len(order.servers) {
+			if math.IsInf(order.upTo, 1) {
+				break
+			}
+			b.extend(order, 2*next)
+		}
+		s := order.servers[next]
+		if s.in {
+			s.weight, s.known = b.weightNow(s), !b.told || b.fresh(s)
+		} else if !b.allRest || s.State != Ready {
+			continue
 		}
+		b.entered = append(b.entered, s)
 	}
-	return all[:n]
+	return next
 }
 
 func byPlace(s, t *server) int { return cmp.Compare(s.place, t.place) }
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -58,14 +58,14 @@
 	return b.out
 }
 
-func (b *Balancer) onRequest(ev Request) error {
+func (b *Balancer) onRequest(ev *Request) error {
 	if ev.Class < 0 || ev.Class >= len(b.cfg.Classes) {
 		return fmt.Errorf("request %d: unknown class %d", ev.ID, ev.Class)
 	}
-	r := &request{
-		Request: ev, class: &b.cfg.Classes[ev.Class], stats: &b.classes[ev.Class],
-		tenant: b.tenant(ev.Tenant), arrived: b.now, deadline: b.now + ev.Remaining, wakeAt: math.Inf(1),
-	}
+	r := b.newRequest()
+	r.Request, r.class, r.stats = *ev, &b.cfg.Classes[ev.Class], &b.classes[ev.Class]
+	r.tenant = b.tenant(ev.Tenant)
+	r.arrived, r.deadline, r.wakeAt = b.now, b.now+ev.Remaining, math.Inf(1)
 	b.reqs[ev.ID] = r
 	admitted := b.admit(r)
 	b.asked.add(b.now, 2*turnTime)
@@ -195,6 +195,7 @@
 		return
 	}
 	s.probing = false
+	b.mark(s)
 	if ev.Result != OK { // out of reach, though the process may run
 		b.rest(s)
 		s.dark = true
@@ -225,7 +226,7 @@
 		return
 	}
 	if r.live == 0 && !b.held(r) {
-		if s := b.pick(r, len(r.tries) > 0); s != nil {
+		if s := b.choose(r, len(r.tries) > 0); s != nil {
 			// Exception: while load is shed an unsafe request is given up at its aim. In full queues all that
 			// is served is late; clients try the others again, and that is more load.
 			b.send(r, s, r.class.Effect == Unsafe && b.steady > byChance)
@@ -287,55 +288,87 @@
 // pick is the ordinary path: smooth weighted round robin over the servers of the request's key, or over all
 // where keys do not matter. A repeat goes to the healthiest untried server.
 func (b *Balancer) pick(r *request, repeat bool) *server {
-	total := b.enter(r, false)
-	if total == 0 { // all rest: the cause is hardly theirs
+	total, keyed := 0.0, !repeat && b.cfg.WarmKeys && r.Key != 0
+	if b.cfg.WarmKeys {
+		total = b.settle()
+	}
+	if b.allRest = false; keyed && b.rot.n > 0 {
+		b.survey(total)
+	} else if total = b.enter(r, false); total == 0 { // all rest: the cause is hardly theirs
+		b.allRest = true
 		total = b.enter(r, true)
 	}
 	if !repeat {
 		b.pool = total
+		b.turn++
 	}
-	held, shares := 1.0, 0.0
-	for _, s := range b.entered {
-		if s.known {
-			held += b.holds(s)
-			shares += s.weight
-		}
-	}
-	open := func(s *server) bool { return !b.cold(s) || b.coldBudget(s) }
-	// Bounded load: a server that holds more than its share is slow, hung or filled by others, whatever
-	// its errors say. It is passed over and keeps its running value for later.
-	room := headroom
-	over := func(s *server) bool {
-		return !s.known || b.holds(s)+1 > math.Ceil(room*held*s.weight/shares)
-	}
+	b.creditTurns(keyed, repeat)
 	from := b.entered
-	if !repeat && b.cfg.WarmKeys && r.Key != 0 {
-		room = keyHeadroom
-		from = b.shard(r.Key, func(s *server) bool { return open(s) && !over(s) })
-	}
-	if !repeat {
-		for _, s := range b.entered {
-			s.running = math.Min(s.running+s.weight, total)
-		}
+	if keyed {
+		b.room = keyHeadroom
+		from = b.shard(r.Key)
 	}
 	var best *server
 	bestOver := false
 	for _, s := range from {
-		if !open(s) {
+		if !b.mayTake(s) {
 			continue
 		}
-		over := over(s)
+		over := b.over(s)
 		if best == nil || bestOver && !over || over == bestOver && b.before(s, best, repeat, over) {
 			best, bestOver = s, over
 		}
 	}
 	if best != nil {
+		if keyed {
+			b.credit(best)
+		}
 		b.trial(best)
 		best.running = math.Max(best.running-total, -owing*total)
 	}
 	return best
 }
 
+// creditTurns gives all servers in question their turns. A sidecar that keeps to few servers of each key does
+// not compare them by running: there it has to be up to date for a repeat only.
+func (b *Balancer) creditTurns(keyed, repeat bool) {
+	switch {
+	case b.allRest || !b.cfg.WarmKeys: // what is out of these gets no turns
+		for _, s := range b.entered {
+			if !repeat {
+				s.turn = b.turn - 1
+				b.credit(s)
+			}
+		}
+	case !keyed:
+		for _, s := range b.entered {
+			b.credit(s)
+		}
+	case !b.narrow():
+		for _, s := range b.servers {
+			if s.in {
+				s.weight = b.weightNow(s)
+				b.credit(s)
+			}
+		}
+	}
+}
+
+// credit gives a server its turns since it was last credited, or came back, at the weight of now.
+func (b *Balancer) credit(s *server) {
+	s.running = math.Min(s.running+s.weight*(b.turn-s.turn), b.pool)
+	s.turn = b.turn
+}
+
+func (b *Balancer) mayTake(s *server) bool { return !b.cold(s) || b.coldBudget(s) }
+
+// over is bounded load: a server that holds more than its share is slow, hung or filled by others, whatever
+// its errors say. It is passed over and keeps its running value for later.
+func (b *Balancer) over(s *server) bool {
+	most := b.room * b.carried * s.weight / b.shares
+	return !s.known || b.holds(s)+1 > math.Ceil(most-1e-9) // 1e-9: no more for a rounding error
+}
+
 // reach is how many servers the rotation goes over, the first in the sidecar's own order: as many as it
 // visits often. With all in, a thousand sidecars filled all connection tables and knew no server. Where keys
 // stay warm all are in: sidecars with rotations of their own would warm a key at many servers.
@@ -348,19 +381,20 @@
 
 func (b *Balancer) demand() float64 { return b.asked.rate(b.now, b.started-turnTime, 2*turnTime, 0) }
 
-// enter lists the servers of this pick with their weights and returns the sum of these.
+// enter lists the servers of this pick, their weights and what they hold, and returns the sum of the weights.
 func (b *Balancer) enter(r *request, all bool) float64 {
 	total, fresh, room := 0.0, false, b.reach()
 	// Exception: answers from elsewhere cost a price. The order, or weight where all are in, favours the own.
-	more := 1 + zoneFavour*b.cfg.Prices.CrossZone*math.Min(1, float64(room)/float64(len(b.servers)))
+	more := 1 + (b.nearby()-1)*math.Min(1, float64(room)/float64(len(b.servers)))
 	b.entered = b.entered[:0]
 	for _, s := range b.servers {
-		if room == 0 || !b.allowed(r, s) || b.resting(s) && !all {
+		if room == 0 || !b.allowed(r, s) || !all && b.resting(s) {
 			continue
 		}
 		room--
-		s.weight = b.weight(s)
-		if b.near(s) {
+		if b.cfg.WarmKeys && s.in {
+			s.weight = b.weightNow(s)
+		} else if s.weight = b.weight(s); b.near(s) {
 			s.weight *= more
 		}
 		total += s.weight
@@ -368,12 +402,34 @@
 		fresh = fresh || s.known
 		b.entered = append(b.entered, s)
 	}
+	b.carried, b.shares, b.room = 1, 0, headroom
 	for _, s := range b.entered {
 		s.known = s.known || !fresh // without any report, the own requests in flight are all there is
+		if s.known {
+			b.carried += b.holds(s)
+			b.shares += s.weight
+		}
 	}
 	return total
 }
 
+// survey does the same for the whole rotation, of which it lists none.
+func (b *Balancer) survey(total float64) {
+	b.carried, b.shares = 1, 0
+	for _, s := range b.reporters() {
+		if s.in {
+			b.carried += b.holds(s)
+			b.shares += b.weightNow(s)
+		}
+	}
+	if b.told = b.shares > 0; !b.told {
+		b.carried, b.shares = 1+float64(b.rot.inFlight), total
+	}
+}
+
+// nearby favours the own zone, by what it costs to cross zones.
+func (b *Balancer) nearby() float64 { return 1 + zoneFavour*b.cfg.Prices.CrossZone }
+
 // before: where all hold more than their share, who holds least for its weight goes first.
 func (b *Balancer) before(s, best *server, repeat, over bool) bool {
 	if over && !repeat {
@@ -415,11 +471,49 @@
 	return math.Max(size*b.health(s)*b.warmth(s), 1e-6)
 }
 
+// weightNow is the same for a server of the rotation, its zone's favour included, from what settle keeps.
+func (b *Balancer) weightNow(s *server) float64 {
+	if s.part.steady() {
+		return max(s.part.level*s.group.factor, 1e-6)
+	}
+	s.part.moveTo(b.now)
+	return max((s.part.level+s.part.dent)*s.group.factor, 1e-6)
+}
+
+// factor is what the weights of all servers of a group have in common.
+func (b *Balancer) factor(kind, zone int) float64 {
+	f := math.Exp(b.kinds[kind] + b.zones[zone])
+	if zone == b.cfg.Zone {
+		f *= b.nearby()
+	}
+	return f
+}
+
+// trend is a server's weight without that factor as it changes by itself, until the time that it returns.
+func (b *Balancer) trend(s *server) (trend, float64) {
+	warm, rise, until := b.warmth(s), 0.0, math.Inf(1)
+	if b.now < s.coldSince {
+		until = s.coldSince
+	} else if b.cold(s) {
+		rise, until = (1-b.cfg.ColdFrom)/b.cfg.ColdTime, s.coldSince+b.cfg.ColdTime
+	}
+	well, hurt := b.health(s), 0.0
+	if well <= floorM {
+		until = math.Min(until, s.lastErr+halfLife*math.Log2(float64(s.errs)*slope/(1-floorM)))
+	} else {
+		well, hurt = 1, 1-well
+	}
+	size := 100 * s.Rating * math.Exp(s.size)
+	t := trend{level: size * warm * well, slope: size * rise * well, at: b.now}
+	t.dent, t.dentSlope = -size*warm*hurt, -size*rise*hurt
+	return t, until
+}
+
 // rank is weighted rendezvous hashing: a server that comes or goes moves no other, nor does a restart.
 func (b *Balancer) rank(s *server) float64 {
 	u := -math.Log(float64(mix(mix(uint64(b.cfg.Number)+1)^uint64(s.ID))>>11+1) / (1 << 53))
 	if b.near(s) && !b.cfg.WarmKeys { // there the weights of the pick favour the own zone
-		u /= 1 + zoneFavour*b.cfg.Prices.CrossZone
+		u /= b.nearby()
 	}
 	return u
 }
@@ -444,8 +538,10 @@
 
 // warmth is the least fraction of its capacity that a cold server has.
 func (b *Balancer) warmth(s *server) float64 {
-	age := math.Max(0, b.now-s.coldSince) / b.cfg.ColdTime
-	return b.cfg.ColdFrom + (1-b.cfg.ColdFrom)*math.Min(1, age)
+	if !b.cold(s) {
+		return 1
+	}
+	return b.cfg.ColdFrom + (1-b.cfg.ColdFrom)*math.Max(0, b.now-s.coldSince)/b.cfg.ColdTime
 }
 
 // coldBudget is a hard limit of sends to a cold server, re-routes included: half of the allowed multiple of
@@ -499,14 +595,14 @@
 	return r.stats.mean + lateDevs*r.stats.dev
 }
 
-func (b *Balancer) onOutcome(ev Outcome) error {
+func (b *Balancer) onOutcome(ev *Outcome) error {
 	r := b.reqs[ev.Request]
 	if r == nil || ev.Attempt >= len(r.tries) || !r.tries[ev.Attempt].live {
 		return fmt.Errorf("outcome of request %d, attempt %d, which is not out", ev.Request, ev.Attempt)
 	}
 	a := &r.tries[ev.Attempt]
 	a.live, a.clean = false, ev.Result.NeverRan()
-	a.s.inFlight--
+	b.carry(a.s, -1)
 	b.expire(r, a)
 	r.live--
 	b.judge(r, a, ev)
@@ -517,7 +613,7 @@
 	return nil
 }
 
-func (b *Balancer) judge(r *request, a *attempt, ev Outcome) {
+func (b *Balancer) judge(r *request, a *attempt, ev *Outcome) {
 	s := a.s
 	switch ev.Result {
 	case OK:
@@ -527,7 +623,8 @@
 		if !a.overdue || !b.seldom() { // no timely answer may come for long, and this one was none
 			s.pardon()
 		}
-		b.zone(s.Zone).answered(b.now)
+		b.mark(s)
+		b.answered(s.state)
 		if b.note(s, ev.Report) > r.class.Aim { // some crowded servers stay slow until idle: skip a turn
 			s.restUntil = b.now + math.Min(b.longestAim, float64(len(b.servers))/b.demand())
 		}
@@ -571,6 +668,7 @@
 	b.learned++
 	step = learnRate * (1 + eager/(1+b.learned/recent)) * (step - b.drift)
 	s.size = bound(s.size+step, -maxSize, maxSize)
+	b.mark(s)
 	b.kinds[s.Kind] = bound(b.kinds[s.Kind]+step/2, -maxSize, maxSize)
 	b.zones[s.Zone] = bound(b.zones[s.Zone]+step/2, -maxSize, maxSize)
 }
@@ -609,25 +707,23 @@
 // update takes in one entry. A restart clears what was held against it.
 func (b *Balancer) update(entry *Server) {
 	s := b.byID[entry.ID]
-	if s == nil {
-		if entry.State == Gone {
-			return
-		}
+	switch {
+	case s == nil && entry.State == Gone:
+		return
+	case s == nil:
 		// A random start keeps sidecars that begin together from choosing in step.
-		s = &server{running: 100 * b.random(), coldSince: math.Inf(-1)}
+		s = &server{running: 100 * b.random(), turn: b.turn, coldSince: math.Inf(-1)}
 		b.byID[entry.ID] = s
-		b.servers = append(b.servers, s)
+	case s.Server == *entry:
+		return
 	}
 	if entry.StartedAt > s.StartedAt {
 		s.pardon()
-		s.running = 0
+		s.running, s.turn = 0, b.turn
 		b.chill(s, entry.StartedAt)
 	}
-	s.Server = *entry
-	s.rank = b.rank(s)
-	if !(s.Rating > 0) {
-		s.Rating = 1
-	}
+	b.enlist(s, entry)
+	b.mark(s)
 }
 
 // chill begins a server's warm-up with a random budget, so that the first sends of all do not meet.
--- a/balance/eject.go
+++ b/balance/eject.go
@@ -40,13 +40,15 @@
 }
 
 // answered ends what is held against a zone, and the rests that came of it.
-func (z *zoneState) answered(now float64) {
+func (b *Balancer) answered(z *zoneState) {
 	if z.dark {
 		for _, s := range z.failed {
-			s.restUntil = now
+			s.restUntil = b.now
+			b.mark(s)
 		}
+		b.markZone(z)
 	}
-	*z = zoneState{answeredAt: now}
+	*z = zoneState{answeredAt: b.now}
 }
 
 // fault counts an error; a server is rested when it is down or after several in a row. Where it is met seldom
@@ -54,6 +56,7 @@
 func (b *Balancer) fault(s *server, down bool) {
 	s.errs++
 	s.lastErr = b.now
+	b.mark(s)
 	if down && !b.resting(s) { // what fails together is one sign
 		s.downs++
 	}
@@ -86,6 +89,7 @@
 func (b *Balancer) rest(s *server) {
 	s.restUntil = b.now + b.restTime(s.rests)
 	s.rests++
+	b.mark(s)
 }
 
 func (b *Balancer) restTime(rests int) float64 {
@@ -95,15 +99,22 @@
 // resting: it left several attempts without an answer or is out of reach, or its zone is; the next rest is
 // longer. A server that started since its zone was lost is there again.
 func (b *Balancer) resting(s *server) bool {
-	z := b.zone(s.Zone)
-	return b.now < s.restUntil || z.dark && b.now < z.restUntil && s.coldSince < z.failedAt
+	return b.restEnds(s) > b.now
+}
+
+// restEnds is when a rest ends, long past for a server that has none.
+func (b *Balancer) restEnds(s *server) float64 {
+	if z := s.state; z.dark && s.coldSince < z.failedAt {
+		return math.Max(s.restUntil, z.restUntil)
+	}
+	return s.restUntil
 }
 
 // outOfReach takes in a connect that failed. Several in a zone that answers nothing, while another does, mean
 // that the zone is lost.
 func (b *Balancer) outOfReach(s *server) {
 	b.rescue(s)
-	z := b.zone(s.Zone)
+	z := s.state
 	if len(z.failed) == 0 {
 		z.failedAt = b.now
 	}
@@ -119,6 +130,7 @@
 	}
 	z.dark, z.tried, z.restUntil = true, nil, b.now+b.restTime(z.rests)
 	z.rests++
+	b.markZone(z)
 	for _, t := range b.servers {
 		if t.Zone == s.Zone && b.resting(t) {
 			b.rescue(t)
@@ -150,8 +162,9 @@
 
 // trial: of a zone that is held to be lost one server is tried at a time.
 func (b *Balancer) trial(s *server) {
-	if z := b.zone(s.Zone); z.dark && s.coldSince < z.failedAt {
+	if z := s.state; z.dark && s.coldSince < z.failedAt {
 		z.tried, z.restUntil = s, b.now+b.longestAim
+		b.markZone(z)
 	}
 }
 
--- a/balance/helpers_test.go
+++ b/balance/helpers_test.go
@@ -1,6 +1,10 @@
 package balance
 
-import "testing"
+import (
+	"cmp"
+	"slices"
+	"testing"
+)
 
 // rig drives one balancer by a script of events and keeps what it asked for.
 type rig struct {
@@ -41,10 +45,15 @@
 	for _, s := range g.b.servers {
 		s.running, s.rank = 0, float64(s.ID) // the random start and order would hide the sequence
 	}
-	g.b.dropGone() // sorts
+	g.b.sortServers()
 	return g
 }
 
+// sortServers puts the servers into the order of ranks that a test has set.
+func (b *Balancer) sortServers() {
+	slices.SortFunc(b.servers, func(s, t *server) int { return cmp.Compare(s.rank, t.rank) })
+}
+
 func mustNew(t testing.TB, cfg Config) *Balancer {
 	t.Helper()
 	b, err := New(cfg)
--- /dev/null
+++ b/balance/pick_test.go
@@ -0,0 +1,81 @@
+package balance
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+)
+
+// BenchmarkPick takes one request over warm keys through the module, with its send and its outcome: a sidecar of
+// 300 that meets a request each 30 ms and 700 keys, at fleets of several sizes. Only the ratios of one run count.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{20, 200, 2000} {
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			before := heapInUse()
+			g := newPickRig(n)
+			for range 7000 { // each key several times
+				g.one()
+			}
+			kept := heapInUse() - before
+			b.ReportAllocs()
+			for b.Loop() {
+				g.one()
+			}
+			b.ReportMetric(float64(kept)/1024, "KiB-kept")
+		})
+	}
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+type pickRig struct {
+	b   *Balancer
+	now float64
+	rnd uint64
+	req Request
+	out Outcome
+}
+
+func newPickRig(servers int) *pickRig {
+	cfg := baseConfig()
+	cfg.Peers, cfg.WarmKeys = 300, true
+	bal, err := New(cfg)
+	if err != nil {
+		panic(err)
+	}
+	g := &pickRig{b: bal, now: 1e6}
+	list := fleet(servers)
+	for i := range list {
+		list[i].Cell, list[i].Zone, list[i].Kind = i/8, i%3, i%2
+	}
+	bal.Start(g.now)
+	if _, err := bal.Handle(g.now, ServerList{Kind: ListFull, Servers: list}); err != nil {
+		panic(err)
+	}
+	return g
+}
+
+// one plays a request and its answer, and checks nothing: other tests do.
+func (g *pickRig) one() {
+	g.rnd = mix(g.rnd + 0x9e3779b97f4a7c15)
+	g.req = Request{ID: g.req.ID + 1, Key: 1 + g.rnd%700, Remaining: 1000}
+	actions, err := g.b.Handle(g.now, &g.req)
+	if err != nil {
+		panic(err)
+	}
+	for _, a := range actions {
+		if a.Kind == Send {
+			g.out = Outcome{Request: g.req.ID, Server: a.Server, Result: OK, Took: 20 + float64(g.rnd>>32%10), Finished: true}
+			if _, err := g.b.Handle(g.now+g.out.Took, &g.out); err != nil {
+				panic(err)
+			}
+			break // the actions are gone
+		}
+	}
+	g.now += 30
+}
--- a/balance/rotation_test.go
+++ b/balance/rotation_test.go
@@ -139,7 +139,7 @@
 		for _, s := range g.b.servers {
 			s.rank = g.b.rank(s)
 		}
-		g.b.dropGone()
+		g.b.sortServers()
 		hits := map[ServerID]int{}
 		for range 60 {
 			g.now += 1000
--- a/balance/state.go
+++ b/balance/state.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"math"
-	"sort"
 )
 
 // listTimer is the token of the discovery timer; requests use their ID (below 2^52).
@@ -23,8 +22,16 @@
 	out        []Action
 
 	servers []*server // those listed, in this sidecar's own order
-	entered []*server // those of the current pick
-	keys    keyMeter  // how often each key is asked for
+	entered []*server // those of the current pick that were looked at
+	allRest bool      // in the current pick: all servers rest, so all are in
+	told    bool      // in the current pick: some server has told lately what it holds
+	carried float64   // ... and what those that count hold in all, one more included
+	shares  float64   // ... and their weights
+	room    float64   // ... and how far above its share of that a server may be
+	turn    float64   // first picks so far
+	rot     rotation  // where keys stay warm
+	orders  keyOrders
+	keys    keyMeter // how often each key is asked for
 	byID    map[ServerID]*server
 	pool    float64         // sum of weights at the last first pick
 	kinds   map[int]float64 // learned logarithm of size by kind
@@ -48,13 +55,26 @@
 	open, openMean, openAt float64 // attempts in flight, each as one over its aim; see count
 	asked                  meter   // requests; see reach
 	zoneStates             map[int]*zoneState
+
+	choose func(r *request, repeat bool) *server // pick, but where a test compares it with another way
+	spent  []*request                            // closed by the current event
+	idle   []*request                            // to be used again
 }
 
-// server is what this sidecar knows of one server.
+// server is what this sidecar knows of one server. What a pick reads of many servers comes first.
 type server struct {
 	Server
+	in     bool    // in the rotation
+	marked bool    // to be looked at before the next pick
+	group  *group  // it counts in the sums of this one
+	part   trend   // ... with this
+	due    float64 // when that changes by itself
+	dueAt  int     // its place in the heap of these times, from 1; 0: none
+
 	rank     float64 // place in this sidecar's own order
+	state    *zoneState
 	running  float64 // SWRR running value
+	turn     float64 // the first pick up to which it was credited
 	weight   float64 // in the current pick
 	place    float64 // in the order of the current key; see shard
 	known    bool    // in the current pick: what it holds is known as well as can be
@@ -77,6 +97,7 @@
 	reportedAt float64
 	sentSince  float64 // own sends since
 	util       float64 // how busy it says it is; 0: it never said
+	reports    bool    // in the list of those that told lately
 }
 
 // pardon clears what was held against a server.
@@ -191,8 +212,9 @@
 		cfg: cfg, rng: cfg.Seed, byID: map[ServerID]*server{}, reqs: map[RequestID]*request{},
 		classes: make([]classStats, len(cfg.Classes)), tenants: make([]tally, len(cfg.Tenants)+1),
 		kinds: map[int]float64{}, zones: map[int]float64{}, keys: keyMeter{counts: map[uint64]float64{}},
-		zoneStates: map[int]*zoneState{}, longestAim: 1, quickest: startAim, busy: 1,
+		zoneStates: map[int]*zoneState{}, longestAim: 1, quickest: startAim, busy: 1, orders: newKeyOrders(),
 	}
+	b.choose = b.pick
 	for i := range cfg.Classes {
 		b.longestAim = math.Max(b.longestAim, cfg.Classes[i].Aim)
 		b.classes[i] = classStats{tally: tally{asked: 1, served: 1}, worth: cfg.Classes[i].Worth, quick: startAim}
@@ -251,15 +273,19 @@
 }
 
 // Handle takes one event and returns what to do. The actions are valid until the next call.
-// An error means that the event cannot be; the balancer is unchanged.
+// An error means that the event cannot be; the balancer is unchanged. Requests and outcomes may come by pointer.
 func (b *Balancer) Handle(now float64, ev Event) ([]Action, error) {
 	b.now, b.out = now, b.out[:0]
 	var err error
 	switch ev := ev.(type) {
-	case Request:
+	case *Request:
 		err = b.onRequest(ev)
-	case Outcome:
+	case *Outcome:
 		err = b.onOutcome(ev)
+	case Request:
+		err = b.onRequest(&ev)
+	case Outcome:
+		err = b.onOutcome(&ev)
 	case Timer:
 		b.onTimer(ev)
 	case ServerList:
@@ -273,9 +299,33 @@
 	case Started:
 		b.onStarted(ev)
 	}
+	b.reuse()
 	return b.out, err
 }
 
+// mostIdle requests are kept for use again: as many as one sidecar hardly has open.
+const mostIdle = 256
+
+// reuse takes back the requests that the event closed. Those that waited for probes may still be listed there.
+func (b *Balancer) reuse() {
+	for _, r := range b.spent {
+		if len(b.idle) < mostIdle && r.probed == nil {
+			*r = request{tries: r.tries[:0]}
+			b.idle = append(b.idle, r)
+		}
+	}
+	b.spent = b.spent[:0]
+}
+
+func (b *Balancer) newRequest() *request {
+	if n := len(b.idle); n > 0 {
+		r := b.idle[n-1]
+		b.idle = b.idle[:n-1]
+		return r
+	}
+	return &request{}
+}
+
 func (b *Balancer) emit(a Action) { b.out = append(b.out, a) }
 
 // random is splitmix64 from the seed.
@@ -330,6 +380,10 @@
 		switch v := float64(report[i]); f {
 		case FieldInFlight:
 			s.reported, s.reportedAt, s.sentSince = v, b.now, 0
+			if b.cfg.WarmKeys && !s.reports {
+				s.reports = true
+				b.rot.fresh = append(b.rot.fresh, s)
+			}
 			b.busy += (math.Min(s.reported, 1) - b.busy) / recent
 		case FieldUtil:
 			v = math.Min(v, 1.5)
@@ -355,6 +409,7 @@
 	for _, s := range b.servers {
 		if !listed[s.ID] {
 			s.State = Gone
+			b.mark(s)
 		}
 	}
 }
@@ -367,10 +422,11 @@
 			kept = append(kept, s)
 		} else {
 			delete(b.byID, s.ID)
+			b.orders.listChanged(s)
 		}
 	}
+	clear(b.servers[len(kept):])
 	b.servers = kept
-	sort.Slice(kept, func(i, j int) bool { return kept[i].rank < kept[j].rank })
 }
 
 // time follows how long the answers of a class take, as a part of their aim, and the least it has been of late.
@@ -411,15 +467,16 @@
 func (b *Balancer) close(r *request) {
 	r.done = true
 	b.cancelOthers(r, -1)
-	if r.live == 0 {
+	if r.live == 0 && b.reqs[r.ID] == r {
 		delete(b.reqs, r.ID)
+		b.spent = append(b.spent, r)
 	}
 }
 
 // send makes an attempt and counts it; one that is cut ends with the request's aim.
 func (b *Balancer) send(r *request, s *server, cut bool) {
 	s.tokens--
-	s.inFlight++
+	b.carry(s, 1)
 	s.sentSince++
 	b.count(1/r.class.Aim, b.pace(fewAnswers))
 	r.live++
