Sidecars tell each other which servers and zones are late or out of reach

Each of 300 sidecars found out alone what the others had found, and forgot it at a restart; where the settings allow messages none was sent. What is heard is a hint: a server rests that this sidecar has no better news of, for four aims, at most a tenth of the servers and half of a zone; those who found a zone lost stand for own failures but for one; a sender whom own answers contradict is not listened to. A restarted sidecar asks three others once.

internal/sidecar carries the datagrams (peer_listen, peers): own queues of 64, foreign, overlong and surplus ones are dropped, and the loop never waits for the socket.

--- a/balance/affinity.go
+++ b/balance/affinity.go
@@ -11,7 +11,6 @@
 	keyFleet    = 15   // ... and one of so many in a large fleet, where keys are asked for more often
 	keyPart     = 0.5  // a frequent key has so many that it is at most this part of what each gets
 	keyHeadroom = 1.25 // as headroom, for the servers of a key: a wait costs less than cold work
-	keySpan     = 256  // requests over which a key's share is taken: seconds for a small sidecar
 )
 
 // shard returns the servers over which the requests of a key rotate, of those of this pick. The key's servers
@@ -68,52 +67,4 @@
 
 func (b *Balancer) free(s *server) bool { return b.mayTake(s) && !b.over(s) }
 
-// collect goes on through a key's order, from its place next, until n servers of the rotation are listed, and
-// returns the place after them.
-func (b *Balancer) collect(order *keyOrder, next, n int) int {
-	for ; len(b.entered) < n; next++ {
-		if next == len(order.servers) {
-			if math.IsInf(order.upTo, 1) {
-				break
-			}
-			b.extend(order, 2*next)
-		}
-		s := order.servers[next]
-		if s.in {
-			s.weight, s.known = b.weightNow(s), !b.told || b.fresh(s)
-		} else if !b.allRest || s.State != Ready {
-			continue
-		}
-		b.entered = append(b.entered, s)
-	}
-	return next
-}
-
 func byPlace(s, t *server) int { return cmp.Compare(s.place, t.place) }
-
-// keyMeter counts the requests for each key and forgets them by halves, so that it stays small.
-type keyMeter struct {
-	counts map[uint64]float64
-	all    float64
-}
-
-func (m *keyMeter) add(key uint64) {
-	if m.all++; m.all >= keySpan {
-		m.all /= 2
-		for k, n := range m.counts {
-			if n /= 2; n < 1 {
-				delete(m.counts, k)
-			} else {
-				m.counts[k] = n
-			}
-		}
-	}
-	if key != 0 {
-		m.counts[key]++
-	}
-}
-
-// share is the part of all requests that ask for the key; what came once tells nothing.
-func (m *keyMeter) share(key uint64) float64 {
-	return math.Max(m.counts[key]-1, 0) / math.Max(m.all, keySpan/4)
-}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -69,6 +69,7 @@
 	b.reqs[ev.ID] = r
 	admitted := b.admit(r)
 	b.asked.add(b.now, 2*turnTime)
+	b.earn()
 	b.keys.add(ev.Key)
 	r.stats.asked++ // only now: else its own class would look a little worse served
 	r.tenant.asked++
@@ -572,6 +573,9 @@
 		if late := a.sent + b.overdueAfter(r); !a.overdue && b.now >= late {
 			a.overdue = true
 			b.learn(a.s, 3)
+			if b.zoneHeard(a.s.state) >= zoneStrikes-1 { // else it would take until the deadline to know
+				b.outOfReach(a.s)
+			}
 			b.fault(a.s, false)
 		} else if !a.overdue {
 			next = math.Min(next, late)
@@ -623,6 +627,7 @@
 		if !a.overdue || !b.seldom() { // no timely answer may come for long, and this one was none
 			s.pardon()
 		}
+		b.answersAgain(s, !a.overdue)
 		b.mark(s)
 		b.answered(s.state)
 		if b.note(s, ev.Report) > r.class.Aim { // some crowded servers stay slow until idle: skip a turn
@@ -702,6 +707,9 @@
 		b.update(&ev.Servers[i])
 	}
 	b.dropGone()
+	if !b.tell.began && len(b.servers) > 0 {
+		b.found(hintAsk, 0)
+	}
 }
 
 // update takes in one entry. A restart clears what was held against it.
@@ -712,7 +720,7 @@
 		return
 	case s == nil:
 		// A random start keeps sidecars that begin together from choosing in step.
-		s = &server{running: 100 * b.random(), turn: b.turn, coldSince: math.Inf(-1)}
+		s = &server{running: 100 * b.random(), turn: b.turn, coldSince: math.Inf(-1), hintBy: -1}
 		b.byID[entry.ID] = s
 	case s.Server == *entry:
 		return
--- a/balance/eject.go
+++ b/balance/eject.go
@@ -28,6 +28,8 @@
 	rests      int
 	dark       bool    // held to be lost
 	tried      *server // since its last rest
+	told       bool    // to others
+	heard      []heard // that it is lost, from others of late
 }
 
 func (b *Balancer) zone(zone int) *zoneState {
@@ -63,10 +65,16 @@
 	switch late := !down && b.seldom(); {
 	case late && b.mayRestLate():
 		b.rest(s)
+		b.foundServer(s, hintLate)
 		pause := math.Max(trialPause*float64(b.cfg.Peers)-b.longestAim, 0)
 		s.restUntil += pause * float64(int(1)<<min(s.rests-1, mostRests)) * (0.75 + b.random()/2)
-	case !late && s.errs >= strikes:
+	case !late && s.errs >= strikes || down && b.now < s.hintUntil: // others found it so as well
 		b.rest(s)
+		if down {
+			b.foundServer(s, hintOut)
+		} else {
+			b.foundServer(s, hintLate)
+		}
 	}
 }
 
@@ -104,10 +112,11 @@
 
 // restEnds is when a rest ends, long past for a server that has none.
 func (b *Balancer) restEnds(s *server) float64 {
+	until := math.Max(s.restUntil, s.hintUntil)
 	if z := s.state; z.dark && s.coldSince < z.failedAt {
-		return math.Max(s.restUntil, z.restUntil)
+		return math.Max(until, z.restUntil)
 	}
-	return s.restUntil
+	return until
 }
 
 // outOfReach takes in a connect that failed. Several in a zone that answers nothing, while another does, mean
@@ -122,7 +131,8 @@
 		z.failed = append(z.failed, s)
 	}
 	// What was sent before the zone was rested still fails, and is no new sign.
-	if len(z.failed) < zoneStrikes || z.dark && s != z.tried || !b.othersAnswer(s.Zone, z.failedAt) {
+	signs := len(z.failed) + b.zoneHeard(z)
+	if signs < zoneStrikes || z.dark && s != z.tried || !b.othersAnswer(s.Zone, z.failedAt) {
 		return
 	}
 	if !z.dark {
@@ -130,6 +140,8 @@
 	}
 	z.dark, z.tried, z.restUntil = true, nil, b.now+b.restTime(z.rests)
 	z.rests++
+	z.told = true
+	b.found(hintZone, uint32(s.Zone))
 	b.markZone(z)
 	for _, t := range b.servers {
 		if t.Zone == s.Zone && b.resting(t) {
--- a/balance/index.go
+++ b/balance/index.go
@@ -342,6 +342,7 @@
 		s.Rating = 1
 	}
 	s.rank, s.state = b.rank(s), b.zone(s.Zone)
+	b.tell.byTag[tag(s.ID)] = s
 	if i < 0 || rating != s.Rating {
 		b.orders.listChanged(s)
 	}
@@ -366,3 +367,54 @@
 }
 
 func byRank(s *server, rank float64) int { return cmp.Compare(s.rank, rank) }
+
+// collect goes on through a key's order, from its place next, until n servers of the rotation are listed, and
+// returns the place after them.
+func (b *Balancer) collect(order *keyOrder, next, n int) int {
+	for ; len(b.entered) < n; next++ {
+		if next == len(order.servers) {
+			if math.IsInf(order.upTo, 1) {
+				break
+			}
+			b.extend(order, 2*next)
+		}
+		s := order.servers[next]
+		if s.in {
+			s.weight, s.known = b.weightNow(s), !b.told || b.fresh(s)
+		} else if !b.allRest || s.State != Ready {
+			continue
+		}
+		b.entered = append(b.entered, s)
+	}
+	return next
+}
+
+// keySpan is the requests over which a key's share is taken: seconds for a small sidecar.
+const keySpan = 256
+
+// keyMeter counts the requests for each key and forgets them by halves, so that it stays small.
+type keyMeter struct {
+	counts map[uint64]float64
+	all    float64
+}
+
+func (m *keyMeter) add(key uint64) {
+	if m.all++; m.all >= keySpan {
+		m.all /= 2
+		for k, n := range m.counts {
+			if n /= 2; n < 1 {
+				delete(m.counts, k)
+			} else {
+				m.counts[k] = n
+			}
+		}
+	}
+	if key != 0 {
+		m.counts[key]++
+	}
+}
+
+// share is the part of all requests that ask for the key; what came once tells nothing.
+func (m *keyMeter) share(key uint64) float64 {
+	return math.Max(m.counts[key]-1, 0) / math.Max(m.all, keySpan/4)
+}
--- a/balance/plain_test.go
+++ b/balance/plain_test.go
@@ -73,7 +73,7 @@
 
 func (b *Balancer) plainRests(s *server) bool {
 	z := b.zone(s.Zone)
-	return b.now < s.restUntil || z.dark && b.now < z.restUntil && s.coldSince < z.failedAt
+	return b.now < s.restUntil || b.now < s.hintUntil || z.dark && b.now < z.restUntil && s.coldSince < z.failedAt
 }
 
 func (b *Balancer) plainEnter(r *request, all bool) float64 {
@@ -150,6 +150,9 @@
 	if seed%3 == 1 {
 		cfg.Reports, cfg.Fields = ReportPiggyback, []Field{FieldInFlight, FieldUtil, FieldQueue, FieldLatency}
 	}
+	if seed%4 == 3 {
+		cfg.Messages, cfg.Prices.Peer = true, 0.06
+	}
 	if seed%7 == 3 {
 		cfg.ColdFrom, cfg.ColdTime = 0, 300
 	}
@@ -230,7 +233,10 @@
 		w.lost = w.rnd.Intn(5) - 1
 	case n < 184: // a lull: rests, reports and cold times end
 		w.now += 3000 * w.rnd.Float64()
-	case n < 190: // one server changes, comes or goes
+	case n < 186:
+		hints := []hint{{hintLate, tag(ServerID(1 + w.rnd.Intn(60))), w.now}, {hintZone, uint32(w.rnd.Intn(3)), w.now}}
+		w.do(Message{From: w.rnd.Intn(30), Data: appendMessage(nil, w.now, hints)})
+	case n < 192: // one server changes, comes or goes
 		id := ServerID(1 + w.rnd.Intn(len(w.list)+2))
 		s, known := w.list[id]
 		switch {
--- a/balance/state.go
+++ b/balance/state.go
@@ -12,6 +12,9 @@
 // listTimer is the token of the discovery timer; requests use their ID (below 2^52).
 const listTimer = 1 << 60
 
+// tellTimer is that of the messages to other sidecars.
+const tellTimer = 1<<60 + 1
+
 // Balancer is one sidecar's decision maker. It is not safe for concurrent use.
 type Balancer struct {
 	cfg        Config
@@ -31,6 +34,7 @@
 	turn    float64   // first picks so far
 	rot     rotation  // where keys stay warm
 	orders  keyOrders
+	tell    telling
 	keys    keyMeter // how often each key is asked for
 	byID    map[ServerID]*server
 	pool    float64         // sum of weights at the last first pick
@@ -97,7 +101,14 @@
 	reportedAt float64
 	sentSince  float64 // own sends since
 	util       float64 // how busy it says it is; 0: it never said
-	reports    bool    // in the list of those that told lately
+	answeredAt float64 // its last answer in time
+
+	hintUntil float64 // a rest by what others told; 0: none
+	hintAt    float64 // when that was found
+	hintBy    int     // who told it first
+	heard     int     // how often
+	toldUntil float64 // it was told to others, and holds until then
+	reports   bool    // in the list of those that told lately
 }
 
 // pardon clears what was held against a server.
@@ -213,6 +224,7 @@
 		classes: make([]classStats, len(cfg.Classes)), tenants: make([]tally, len(cfg.Tenants)+1),
 		kinds: map[int]float64{}, zones: map[int]float64{}, keys: keyMeter{counts: map[uint64]float64{}},
 		zoneStates: map[int]*zoneState{}, longestAim: 1, quickest: startAim, busy: 1, orders: newKeyOrders(),
+		tell: telling{senders: map[int]*sender{}, byTag: map[uint32]*server{}},
 	}
 	b.choose = b.pick
 	for i := range cfg.Classes {
@@ -298,6 +310,8 @@
 		}
 	case Started:
 		b.onStarted(ev)
+	case Message:
+		b.onMessage(&ev)
 	}
 	b.reuse()
 	return b.out, err
@@ -349,6 +363,8 @@
 func (b *Balancer) onTimer(ev Timer) {
 	if ev.Token == listTimer {
 		b.emit(Action{Kind: Watch})
+	} else if ev.Token == tellTimer {
+		b.tellNow()
 	} else if r := b.reqs[RequestID(ev.Token)]; r != nil {
 		r.wakeAt = math.Inf(1) // not compared with the clock: a timer may come a rounding error early
 		b.step(r)
@@ -422,6 +438,7 @@
 			kept = append(kept, s)
 		} else {
 			delete(b.byID, s.ID)
+			delete(b.tell.byTag, tag(s.ID))
 			b.orders.listChanged(s)
 		}
 	}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -34,6 +34,7 @@
 	connIdle    time.Duration
 	maxOpen     int
 	known       list
+	peers       *peerConfig // nil: no messages between sidecars
 }
 
 // defaultSockets holds where the configuration sets no limit.
@@ -57,6 +58,7 @@
 		MemoryMB int     `json:"memory_mb"`
 		Sockets  int     `json:"sockets"`
 	} `json:"limits"`
+	peerFile
 	Known    list            `json:"known"`
 	Settings json.RawMessage `json:"settings"`
 }
@@ -153,6 +155,12 @@
 		slog.Warn("the known list is not used", "error", err)
 		cfg.known = list{}
 	}
+	if cfg.balance.Messages {
+		if cfg.peers, err = f.peerFile.config(f.Listen, settings.Number, settings.Peers); err != nil {
+			return nil, err
+		}
+	}
+	cfg.balance.Messages = cfg.peers != nil
 	if cfg.classes, err = indexNamed("classes", n.Classes); err != nil {
 		return nil, err
 	}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -115,6 +115,7 @@
 	bal     *balance.Balancer
 	ups     *upstreams
 	disc    *discovery
+	peers   *peers
 	inbox   chan any
 	stopped chan struct{}
 
@@ -173,6 +174,10 @@
 			for n := len(l.inbox); n > 0; n-- {
 				l.take(now, <-l.inbox)
 			}
+		case ev := <-l.peers.messages():
+			now := l.clock.ms(time.Now())
+			l.fire(now)
+			l.tell(now, ev)
 		case <-alarm.C:
 			l.timersRan = l.clock.ms(time.Now())
 			l.fire(l.timersRan)
@@ -341,6 +346,8 @@
 			if up := l.servers[act.Server]; up != nil {
 				l.ups.closeIdle(up)
 			}
+		case balance.Post:
+			l.peers.post(act.Peer, act.Data)
 		case balance.Log:
 			slog.Info("module", "text", act.Text)
 		case balance.Watch:
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -68,6 +68,7 @@
 	memory.give(int(bodyShare * float64(cmp.Or(cfg.MemoryMB, freeMemory)<<20)))
 	l := newLoop(cfg, bal, newUpstreams(cfg, servers, memory))
 	l.disc = newDiscovery(cfg.Discovery, l.post, func(f func()) { l.workers.Go(f) })
+	l.peers = listenPeers(cfg.peers)
 	maxTaken := servers
 	if cfg.maxOpen > 0 {
 		maxTaken = min(maxTaken, cfg.maxOpen)
@@ -125,6 +126,10 @@
 		defer close(ended)
 		s.loop.run(work)
 	}()
+	if p := s.loop.peers; p != nil {
+		s.loop.workers.Go(func() { p.write(work) })
+		s.loop.workers.Go(p.read)
+	}
 	reaper := time.NewTicker(reapEvery)
 	defer reaper.Stop()
 	s.loop.workers.Go(func() {
