Hints put trials off, where servers are met seldom; the lab carries them between real sidecars

What is left puts the next trial of a server off that this sidecar found bad itself and meets seldom.

internal/lab/live gives each sidecar an address for the others and carries datagrams under the faults of the links; a test with three real processes sees nothing cross a cut, and no more than the budget after it heals. A tie of running values is no longer decided by a rounding error.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -437,7 +437,8 @@
 		return (b.holds(s)+1)*best.weight < (b.holds(best)+1)*s.weight
 	}
 	ms, mb := b.health(s), b.health(best)
-	return repeat && ms > mb || (!repeat || ms == mb) && s.running > best.running
+	ahead := s.running > best.running+1e-9*b.pool // no rounding error decides
+	return repeat && ms > mb || (!repeat || ms == mb) && ahead
 }
 
 // allowed: the rules let the request go there now; one that may have run, only where its key is known.
@@ -573,9 +574,6 @@
 		if late := a.sent + b.overdueAfter(r); !a.overdue && b.now >= late {
 			a.overdue = true
 			b.learn(a.s, 3)
-			if b.zoneHeard(a.s.state) >= zoneStrikes-1 { // else it would take until the deadline to know
-				b.outOfReach(a.s)
-			}
 			b.fault(a.s, false)
 		} else if !a.overdue {
 			next = math.Min(next, late)
@@ -627,7 +625,9 @@
 		if !a.overdue || !b.seldom() { // no timely answer may come for long, and this one was none
 			s.pardon()
 		}
-		b.answersAgain(s, !a.overdue)
+		if !a.overdue {
+			b.answersAgain(s)
+		}
 		b.mark(s)
 		b.answered(s.state)
 		if b.note(s, ev.Report) > r.class.Aim { // some crowded servers stay slow until idle: skip a turn
--- a/balance/eject.go
+++ b/balance/eject.go
@@ -28,8 +28,6 @@
 	rests      int
 	dark       bool    // held to be lost
 	tried      *server // since its last rest
-	told       bool    // to others
-	heard      []heard // that it is lost, from others of late
 }
 
 func (b *Balancer) zone(zone int) *zoneState {
@@ -65,16 +63,12 @@
 	switch late := !down && b.seldom(); {
 	case late && b.mayRestLate():
 		b.rest(s)
-		b.foundServer(s, hintLate)
+		b.foundBad(s)
 		pause := math.Max(trialPause*float64(b.cfg.Peers)-b.longestAim, 0)
 		s.restUntil += pause * float64(int(1)<<min(s.rests-1, mostRests)) * (0.75 + b.random()/2)
-	case !late && s.errs >= strikes || down && b.now < s.hintUntil: // others found it so as well
+	case !late && s.errs >= strikes:
 		b.rest(s)
-		if down {
-			b.foundServer(s, hintOut)
-		} else {
-			b.foundServer(s, hintLate)
-		}
+		b.foundBad(s)
 	}
 }
 
@@ -131,8 +125,7 @@
 		z.failed = append(z.failed, s)
 	}
 	// What was sent before the zone was rested still fails, and is no new sign.
-	signs := len(z.failed) + b.zoneHeard(z)
-	if signs < zoneStrikes || z.dark && s != z.tried || !b.othersAnswer(s.Zone, z.failedAt) {
+	if len(z.failed) < zoneStrikes || z.dark && s != z.tried || !b.othersAnswer(s.Zone, z.failedAt) {
 		return
 	}
 	if !z.dark {
@@ -140,8 +133,6 @@
 	}
 	z.dark, z.tried, z.restUntil = true, nil, b.now+b.restTime(z.rests)
 	z.rests++
-	z.told = true
-	b.found(hintZone, uint32(s.Zone))
 	b.markZone(z)
 	for _, t := range b.servers {
 		if t.Zone == s.Zone && b.resting(t) {
--- a/balance/hints.go
+++ b/balance/hints.go
@@ -1,15 +1,19 @@
 package balance
 
 import (
-	"cmp"
 	"math"
 	"slices"
 )
 
 // This file decides what sidecars tell each other. Each meets a server seldom, and finds out alone what
-// others
-// have found already. What a message says is a hint and never a fact: it can have a server rest that this one
-// has no better news of, for a short time and for few servers, and it counts beside own failures of a zone.
+// others have found already. What a message says is a hint and never a fact: it puts the next trial of
+// a server off that this sidecar has found bad itself and has no better news of, for a short time and
+// for few servers. So what is choked becomes idle at last, though each of hundreds tries it seldom.
+//
+// Two more were measured in the lab and taken out. Hints that had servers rest with which this sidecar
+// had met no trouble took servers out that were late by load alone. Hints that a zone is lost, in place
+// of own failures, had all sidecars move to the other zones at once; that gained 0.002 at low load and
+// lost 0.01 at high.
 
 const (
 	tellSpend  = 5e-4 // part of the result that what is told for each request may cost: it has to save more
@@ -19,15 +23,16 @@
 	askFew     = 3    // sidecars that one asks at its start; one of them will know
 	hintAims   = 4    // longest aims that a hint holds, so that what is choked can become idle
 	hintMost   = 5000 // ms that it holds at the most: as far as ages are told
-	hintPart   = 0.1  // of the servers rest by hints at the most, and half of those of a zone
+	hintPart   = 0.1  // of the servers rest by hints at the most, and no more than half of those of a zone
 	heardOften = 3    // times that a finding was heard, after which it is not told again
 	mostWrong  = 2.5  // contradictions of late after which a sender is not listened to
 )
 
 func (b *Balancer) hintLife() float64 { return math.Min(hintAims*b.longestAim, hintMost) }
 
-// mayTell: messages are allowed, and there is somebody to hear them.
-func (b *Balancer) mayTell() bool { return b.cfg.Messages && b.cfg.Peers > 1 }
+// mayTell: messages are allowed, there is somebody to hear them, and this sidecar finds out too late by
+// itself. Three that met each server often were led into a jam by each other's news.
+func (b *Balancer) mayTell() bool { return b.cfg.Messages && b.cfg.Peers > 1 && b.seldom() }
 
 // earn lets each request pay for some bytes. So all messages together cost the same part of the result,
 // whatever the size of the fleet.
@@ -49,23 +54,17 @@
 	}
 }
 
-// foundServer tells of a server's rest, unless this was told or heard often of late.
-func (b *Balancer) foundServer(s *server, kind hintKind) {
+// foundBad tells of a server's rest, unless this was told or heard often of late.
+func (b *Balancer) foundBad(s *server) {
 	if b.now < s.toldUntil || s.heard >= heardOften && b.now < s.hintUntil {
 		return
 	}
 	s.toldUntil = b.now + b.hintLife()
-	b.found(kind, tag(s.ID))
+	b.found(hintBad, tag(s.ID))
 }
 
-// answersAgain takes back what was told of a server and its zone.
-func (b *Balancer) answersAgain(s *server, timely bool) {
-	if z := s.state; z.told {
-		b.found(hintZoneBack, uint32(s.Zone))
-	}
-	if !timely {
-		return
-	}
+// answersAgain takes back what was told of a server that answers in time.
+func (b *Balancer) answersAgain(s *server) {
 	s.answeredAt = b.now
 	if s.toldUntil > 0 {
 		s.toldUntil = 0
@@ -149,74 +148,53 @@
 }
 
 func (b *Balancer) hear(from int, h hint) {
-	s, z := b.tell.byTag[h.whom], b.zoneStates[int(h.whom)]
-	old := b.now-h.at >= b.hintLife()
+	s := b.tell.byTag[h.whom]
 	switch {
 	case h.kind == hintAsk:
 		b.replyTo(from)
-	case h.kind == hintZone && z != nil && !old && h.at > z.answeredAt:
-		z.heard = slices.DeleteFunc(z.heard, func(h heard) bool { return h.from == from })
-		if len(z.heard) < zoneStrikes {
-			z.heard = append(z.heard, heard{from, h.at})
-		}
-	case h.kind == hintZoneBack && z != nil:
-		z.heard = z.heard[:0]
-	case h.kind == hintBack && s != nil && h.at > s.hintAt:
+	case s == nil || h.at <= math.Max(s.answeredAt, s.hintAt) || b.now-h.at >= b.hintLife():
+		// of none that is listed, or older than what is known
+	case h.kind == hintBack:
 		b.unhint(s)
-	case (h.kind == hintLate || h.kind == hintOut) && s != nil && !old && h.at > s.answeredAt:
-		if b.now < s.hintUntil {
-			s.heard++
-		} else if b.mayHint(s) {
-			s.heard, s.hintBy = 1, from
-		} else {
-			return
-		}
-		s.hintAt = h.at
-		s.hintUntil = math.Max(s.hintUntil, h.at+b.hintLife())
-		b.mark(s)
+	case b.now < s.hintUntil:
+		s.heard++
+		b.believe(s, h)
+	case (s.errs > 0 || b.now < math.Max(s.restUntil, b.started+b.hintLife())) && b.mayHint(s):
+		// Exception: one that has just started has met no trouble yet.
+		s.heard, s.hintBy = 1, from
+		b.believe(s, h)
 	}
 }
 
-// zoneHeard counts who told of late that a zone is lost. They stand for own failures, but for one.
-func (b *Balancer) zoneHeard(z *zoneState) int {
-	oldest := b.now - b.hintLife()
-	z.heard = slices.DeleteFunc(z.heard, func(h heard) bool { return h.at <= oldest })
-	return min(len(z.heard), zoneStrikes-1)
+func (b *Balancer) believe(s *server, h hint) {
+	s.hintAt = h.at
+	s.hintUntil = math.Max(s.hintUntil, h.at+b.hintLife())
+	b.mark(s)
 }
 
 // mayHint bounds what all hints together can do.
 func (b *Balancer) mayHint(s *server) bool {
-	hinted, inZone, ofZone := 0, 0, 0
+	hinted, inZone, ofZone := 1, 1, 0 // with this one
 	for _, t := range b.servers {
-		is := b.now < t.hintUntil
+		is := t != s && b.now < t.hintUntil
 		if is {
 			hinted++
 		}
 		if t.state == s.state && t.State == Ready {
-			if ofZone++; is || b.resting(t) {
+			if ofZone++; is || t != s && b.resting(t) {
 				inZone++
 			}
 		}
 	}
-	return float64(hinted+1) <= hintPart*float64(len(b.servers)) && 2*(inZone+1) <= ofZone
+	return float64(hinted) <= hintPart*float64(len(b.servers)) && 2*inZone <= ofZone
 }
 
 // replyTo tells one that has just started what holds here now.
 func (b *Balancer) replyTo(peer int) {
 	var hints []hint
-	for zone, z := range b.zoneStates {
-		if z.dark && b.now < z.restUntil && len(hints) < mostHints {
-			hints = append(hints, hint{hintZone, uint32(zone), b.now})
-		}
-	}
-	slices.SortFunc(hints, func(h, i hint) int { return cmp.Compare(h.whom, i.whom) })
 	for _, s := range b.servers {
 		if b.now < s.restUntil && b.now-s.lastErr < b.hintLife() && len(hints) < mostHints {
-			kind := hintLate
-			if s.downs > 0 {
-				kind = hintOut
-			}
-			hints = append(hints, hint{kind, tag(s.ID), s.lastErr})
+			hints = append(hints, hint{hintBad, tag(s.ID), s.lastErr})
 		}
 	}
 	if len(hints) > 0 {
--- a/balance/telling.go
+++ b/balance/telling.go
@@ -24,12 +24,9 @@
 type hintKind uint8
 
 const (
-	hintAsk      hintKind = 1 + iota // what do you know? Whom is 0
-	hintLate                         // a server answers late
-	hintOut                          // a server is out of reach
-	hintBack                         // a server answers in time again
-	hintZone                         // a zone is out of reach; whom is its number
-	hintZoneBack                     // a zone answers again
+	hintAsk  hintKind = 1 + iota // what do you know? Whom is 0
+	hintBad                      // a server is late, fails or is out of reach
+	hintBack                     // a server answers in time again
 	hintKinds
 )
 
@@ -89,12 +86,6 @@
 	return uint16(sum)
 }
 
-// heard is who told that a zone is lost, and when that was found.
-type heard struct {
-	from int
-	at   float64
-}
-
 // sender is what is remembered of another sidecar that has told something.
 type sender struct {
 	stamp   uint32  // of its last message
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -260,6 +260,9 @@
 	return f.There && f.A.has(from) && f.B.has(to) || f.Back && f.B.has(from) && f.A.has(to)
 }
 
+// A message from one sidecar to another takes between these times in ms, as in the users' service (BRIEF).
+const PeerLeastMS, PeerMostMS = 1.3, 12.0
+
 // resolve draws the targets of a fault.
 func (f *FaultFile) resolve(p *Plan, rng *rand.Rand) Fault {
 	out := Fault{
--- a/internal/lab/live/live_test.go
+++ b/internal/lab/live/live_test.go
@@ -154,3 +154,42 @@
 		}
 	}
 }
+
+// Sidecars tell each other of servers that are gone, but not over links that are cut; once these are whole again
+// no more is told than the requests pay for.
+func TestHintsBetweenProcesses(t *testing.T) {
+	const perRequest, atOnce = 2.2, 400 + 39 // bytes: balance's tellSpend at a price of 0.06, tellBurst and the question
+	const questions = 3 * 2                  // each asks the others at its start, which is before the first fault
+	told := func(t *testing.T, cut string) *lab.Result {
+		faults := "[limits]\nmay_tell = true\ncancel = true\n[prices]\npeer = 0.06\n"
+		for i, at := range []string{"0.4", "0.9", "1.9", "2.2"} {
+			faults += fault("kill", fmt.Sprintf("server:%d", i), at, "0.3", "")
+		}
+		r, _ := run(t, t.Context(), "2.8", faults+cut)
+		if most := perRequest*float64(r.Requests) + 3*atOnce; float64(r.MessageB) > most {
+			t.Errorf("%d bytes told with %d requests, at most %.0f", r.MessageB, r.Requests, most)
+		}
+		return r
+	}
+	cut := func(at, lasts string) string {
+		return fault("cut", "", at, lasts, `between = ["sidecars", "sidecars"]`)
+	}
+	t.Run("whole", func(t *testing.T) {
+		t.Parallel()
+		if r := told(t, ""); r.Messages <= questions {
+			t.Error("nothing was told")
+		}
+	})
+	t.Run("cut", func(t *testing.T) {
+		t.Parallel()
+		if r := told(t, cut("0", "2.8")); r.Messages > questions {
+			t.Errorf("%d messages crossed cut links", r.Messages)
+		}
+	})
+	t.Run("healed", func(t *testing.T) {
+		t.Parallel()
+		if r := told(t, cut("0", "1.6")); r.Messages <= questions {
+			t.Error("nothing was told once the links were whole")
+		}
+	})
+}
--- a/internal/lab/sim/node.go
+++ b/internal/lab/sim/node.go
@@ -475,7 +475,7 @@
 		if !passes {
 			continue
 		}
-		after := more + peerLeast + (peerMost-peerLeast)*e.rng.Float64()
+		after := more + lab.PeerLeastMS + (lab.PeerMostMS-lab.PeerLeastMS)*e.rng.Float64()
 		e.at(e.now+after, func(float64) {
 			if other.up {
 				e.measure.Count(func(c *lab.Counts) { c.Messages++; c.MessageB += len(data) })
