--- a/balance/hints.go
+++ b/balance/hints.go
@@ -25,14 +25,17 @@
 	hintMost   = 5000 // ms that it holds at the most: as far as ages are told
 	hintPart   = 0.1  // of the servers rest by hints at the most, and no more than half of those of a zone
 	heardOften = 3    // times that a finding was heard, after which it is not told again
+	fewMeets   = 4    // times that a server is met while a hint holds, at which own trials tell as much
 	mostWrong  = 2.5  // contradictions of late after which a sender is not listened to
 )
 
 func (b *Balancer) hintLife() float64 { return math.Min(hintAims*b.longestAim, hintMost) }
 
-// mayTell: messages are allowed, there is somebody to hear them, and this sidecar finds out too late by
-// itself. Three that met each server often were led into a jam by each other's news.
-func (b *Balancer) mayTell() bool { return b.cfg.Messages && b.cfg.Peers > 1 && b.seldom() }
+// mayTell: messages are allowed, there is somebody to hear them, and while a hint holds this sidecar meets a
+// server so few times that others know more. Three that met each server often led each other into a jam.
+func (b *Balancer) mayTell() bool {
+	return b.cfg.Messages && b.cfg.Peers > 1 && b.demand()*b.hintLife() < fewMeets*float64(len(b.servers))
+}
 
 // earn lets each request pay for some bytes. So all messages together cost the same part of the result,
 // whatever the size of the fleet.
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -295,14 +295,16 @@
 }
 
 // Drop gives waiting work up, as a caller that went away; what runs runs on.
-func (s *Server) Drop(now float64, attempt int64) {
+func (s *Server) Drop(now float64, attempt int64) (dropped bool) {
 	for i := range s.waiting {
 		if s.waiting[i].Attempt == attempt {
 			s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
+			dropped = true
 			break
 		}
 	}
 	s.mood(now)
+	return dropped
 }
 
 // Load is how many requests it holds.
--- a/internal/lab/sim/host.go
+++ b/internal/lab/sim/host.go
@@ -161,7 +161,9 @@
 func (h *host) drop(now float64, att *attempt) {
 	if h.out[att.id] != nil && h.up && !h.frozen && !h.vanished {
 		h.advance(now)
-		h.model.Drop(now, att.id)
+		if h.model.Drop(now, att.id) {
+			delete(h.out, att.id)
+		}
 		h.look()
 	}
 }
