--- a/balance/balance.go
+++ b/balance/balance.go
@@ -42,7 +42,6 @@
 	probeSpend = 0.03 // part of the result that probes for each request may cost
 	probeAims  = 0.05 // part of the aim that a first send waits for probes, and that reports are believed
 	allBusy    = 0.01 // chance that all probed servers are busy, at which no more are probed
-	coldKeys   = 0.5  // of the answers of a server that is warm for its keys, one that is not gives so many
 	turnTime   = 1000 // ms in which each server of the rotation should get a request: else it is not known
 	fewest     = 4    // servers in the rotation of the least sidecar
 	zoneFavour = 200  // weight added to a server of the own zone, times the price of crossing zones
@@ -547,16 +546,12 @@
 	return b.cfg.ColdFrom + (1-b.cfg.ColdFrom)*math.Max(0, b.now-s.coldSince)/b.cfg.ColdTime
 }
 
-// coldBudget is a hard limit of sends to a cold server, re-routes included: what warm servers of its size
-// answer of this sidecar's requests, lowered by its warmth, and half of that where keys matter, as it has
-// served none. With half of what the rules allow, servers that came back were crowded and then choked for
-// the rest of the day. Answers count, not requests, which clients repeat in overload, and few are assumed:
-// with thirty, small sidecars broke the rule.
+// coldBudget is a hard limit of sends to a cold server, re-routes included: half of the allowed multiple of
+// what warm servers of its size answer of this sidecar's requests, lowered by its warmth, so that all of them
+// together stay under it. Answers count, not requests, which clients repeat in overload, and few are assumed:
+// with thirty, small sidecars broke the rule. Without the multiple, warm servers jammed on the fleet bench.
 func (b *Balancer) coldBudget(s *server) bool {
-	fill := b.pace(1) * s.weight / math.Max(b.pool, s.weight)
-	if b.cfg.WarmKeys {
-		fill *= coldKeys
-	}
+	fill := b.pace(1) * s.weight / math.Max(b.pool, s.weight) * math.Max(1, b.cfg.FallMultiple/2)
 	s.tokens = math.Min(s.tokens+fill*(b.now-s.tokensAt), math.Max(1, fill*b.cfg.FallTime/4))
 	s.tokensAt = b.now
 	return s.tokens >= 1
