Duties: leases with fencing tokens in the list service's log, and milldeck duty

Need: controllers of this product and the users' own jobs that only one process may run at a time.

The leader times leases by its monotonic clock; a renewal is no write and counts only when the leadership was proved after it came, so a new leader, which gives all their full time, never ends one sooner than was promised. duty.Run waits by a watch, counts its lease from before it sent the renewal, stops a margin before its end and goes on through lost answers. Writes to the list service can be conditional on a token, checked when the record is applied.

--- /dev/null
+++ b/internal/duty/duty.go
@@ -0,0 +1,309 @@
+// Package duty lets one process of many do what only one may do at a time. A duty is a lease in the replicated log of
+// the list service, with the log's index as fencing token: Run waits for it, works while it holds, and stops in time.
+//
+// What is promised: of all processes that measure with a working monotonic clock, at most one believes at any moment
+// that it holds a duty. What is not: that a process which was stopped between a look at its lease and what it did
+// next notices in time. What must not happen twice has to be guarded by the token, as writes to the list service can
+// be (registry.Guard, Lease.Save).
+package duty
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"milldeck/internal/duty/table"
+	"milldeck/internal/registry"
+)
+
+const (
+	// renewals come so many times in a lease: two may be lost.
+	renewals = 3
+	// marginPart and leastMargin are what a holder stops before its lease ends: what it began has to be over by then,
+	// and a scheduler that keeps it waiting for a moment must not carry it past the end.
+	marginPart  = 0.1
+	leastMargin = 50 * time.Millisecond
+	// releaseWait bounds the release of one that is ending; without it the lease runs out by itself.
+	releaseWait = 2 * time.Second
+
+	// DefaultTTL outlives an election of the list service, which takes up to two seconds.
+	DefaultTTL = 5 * time.Second
+)
+
+// Why work is told to stop.
+var (
+	ErrLost  = errors.New("the duty is lost")
+	ErrAsked = errors.New("the holder is asked to step down")
+)
+
+// Margin is how long before the end of a lease its holder stops.
+func Margin(ttl time.Duration) time.Duration {
+	return max(time.Duration(marginPart*float64(ttl)), leastMargin)
+}
+
+// Event is what becomes of a candidate: waiting, acquired, renewed, asked, lost or released.
+type Event struct {
+	What  string    `json:"what"`
+	Duty  string    `json:"duty"`
+	Who   string    `json:"who"`
+	Token uint64    `json:"token,omitempty"`
+	At    time.Time `json:"at"`
+	Until time.Time `json:"until,omitzero"` // when the holder stops without a further renewal
+	Place int       `json:"place,omitempty"`
+}
+
+// Options say how Run takes part.
+type Options struct {
+	Who    string        // this candidate, another with each start of a process; "" draws one
+	TTL    time.Duration // of the lease, where this candidate is the first; 0: DefaultTTL
+	Events func(Event)   // told of each step, in order; nil: nobody
+	Once   bool          // return after the first tenure, however it ended
+}
+
+// Lease is a duty while it is held.
+type Lease struct {
+	Name       string
+	Who        string
+	Token      uint64
+	Checkpoint []byte // as the last holder left it
+
+	client *registry.Client
+	mu     sync.Mutex
+	until  time.Time // by the monotonic clock
+}
+
+// Until is when the holder has to have stopped, unless it is renewed before.
+func (l *Lease) Until() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.until
+}
+
+// Valid tells whether the lease holds now. By the time that the caller acts on it, it may not: see the package.
+func (l *Lease) Valid() bool { return time.Now().Before(l.Until()) }
+
+// Guard makes a write to the list service count only under this lease.
+func (l *Lease) Guard() *registry.Guard { return &registry.Guard{Duty: l.Name, Token: l.Token} }
+
+// Save writes where the work is, for whoever goes on. It fails once the duty is another's.
+func (l *Lease) Save(ctx context.Context, checkpoint []byte) error {
+	_, err := l.client.Duty(ctx, table.Checkpoint, l.Name, registry.DutyCall{Who: l.Who, Token: l.Token, Data: checkpoint})
+	if err != nil {
+		return fmt.Errorf("checkpoint of %s: %w", l.Name, err)
+	}
+	return nil
+}
+
+// Run seeks a duty and calls work each time it is held, until ctx ends or work returns without having been told to
+// stop. The context of work ends, with ErrLost or ErrAsked as its cause, in time before the lease does; work has to
+// return then, and Run seeks again. After its end the duty is released, and the next in line has it at once.
+func Run(ctx context.Context, client *registry.Client, name string, opts Options, work func(context.Context, *Lease) error) error {
+	if opts.Who == "" {
+		opts.Who = registry.NewID()
+	}
+	if opts.TTL == 0 {
+		opts.TTL = DefaultTTL
+	}
+	c := &candidate{client: client, name: name, opts: opts, news: make(chan table.Duty, 1)}
+	watching, stop := context.WithCancel(ctx)
+	defer stop()
+	var around sync.WaitGroup
+	defer around.Wait()
+	defer stop()
+	around.Go(func() { _ = client.WatchDuty(watching, name, c.tell) }) // ends with its context
+	for {
+		d, err := c.wait(ctx)
+		if err != nil {
+			c.release(0)
+			return err
+		}
+		l, err := c.take(ctx, d)
+		if err != nil {
+			continue // it went to another before it was taken up
+		}
+		err, told := c.hold(ctx, l, work)
+		c.release(l.Token)
+		if !told || opts.Once || ctx.Err() != nil {
+			return err
+		}
+	}
+}
+
+type candidate struct {
+	client *registry.Client
+	name   string
+	opts   Options
+	news   chan table.Duty // the newest state that was not looked at
+}
+
+// tell keeps the newest state of the duty.
+func (c *candidate) tell(d table.Duty) {
+	for {
+		select {
+		case c.news <- d:
+			return
+		default:
+		}
+		select {
+		case <-c.news:
+		default:
+		}
+	}
+}
+
+func (c *candidate) event(what string, token uint64, until time.Time, place int) {
+	if c.opts.Events != nil {
+		c.opts.Events(Event{What: what, Duty: c.name, Who: c.opts.Who, Token: token, At: time.Now(), Until: until, Place: place})
+	}
+}
+
+// wait seeks the duty and keeps its place in the queue until it is the holder.
+func (c *candidate) wait(ctx context.Context) (table.Duty, error) {
+	seek := func() (table.Duty, error) {
+		return c.client.Duty(ctx, table.Seek, c.name, registry.DutyCall{Who: c.opts.Who, TTLMS: c.opts.TTL.Milliseconds()})
+	}
+	d, err := seek()
+	if err != nil {
+		return d, fmt.Errorf("duty %s: %w", c.name, err)
+	}
+	told := -1
+	for {
+		if d.Holder == c.opts.Who {
+			return d, nil
+		}
+		place := 0
+		for i, who := range d.Queue {
+			if who == c.opts.Who {
+				place = i + 1
+			}
+		}
+		if place != told {
+			told = place
+			c.event("waiting", 0, time.Time{}, place)
+		}
+		select {
+		case <-ctx.Done():
+			return d, ctx.Err()
+		case news := <-c.news:
+			if news.Rev >= d.Rev { // else a replica is behind, and knows nothing of this candidate yet
+				d = news
+			}
+		case <-time.After(c.opts.TTL / renewals):
+			lost, err := c.client.RenewDuties(ctx, c.opts.Who, []registry.DutyRenewal{{Name: c.name}})
+			if err != nil && ctx.Err() != nil {
+				return d, ctx.Err()
+			}
+			if err == nil && len(lost) > 0 { // it may be the holder meanwhile, or was away for too long
+				if d, err = seek(); err != nil {
+					return d, fmt.Errorf("duty %s: %w", c.name, err)
+				}
+			}
+		}
+	}
+}
+
+// take renews a duty that was given to this candidate. Only from then on does it know when its lease ends: it was
+// not told when it began.
+func (c *candidate) take(ctx context.Context, d table.Duty) (*Lease, error) {
+	l := &Lease{Name: c.name, Who: c.opts.Who, Token: d.Token, Checkpoint: d.Checkpoint, client: c.client}
+	if err := c.renew(ctx, l, time.Duration(d.TTLMS)*time.Millisecond); err != nil {
+		c.release(d.Token)
+		return nil, err
+	}
+	c.event("acquired", l.Token, l.Until(), 0)
+	return l, nil
+}
+
+// renew asks for more time and counts it from before the question was sent.
+func (c *candidate) renew(ctx context.Context, l *Lease, ttl time.Duration) error {
+	sent := time.Now()
+	lost, err := c.client.RenewDuties(ctx, l.Who, []registry.DutyRenewal{{Name: l.Name, Token: l.Token}})
+	if err != nil {
+		return err
+	}
+	if len(lost) > 0 {
+		return ErrLost
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if until := sent.Add(ttl - Margin(ttl)); until.After(l.until) {
+		l.until = until
+	}
+	return nil
+}
+
+// hold does the work and keeps the lease. Told: the work was told to stop.
+func (c *candidate) hold(ctx context.Context, l *Lease, work func(context.Context, *Lease) error) (err error, told bool) {
+	ttl := c.opts.TTL
+	if d, err := c.client.GetDuty(ctx, c.name); err == nil {
+		ttl = time.Duration(d.TTLMS) * time.Millisecond
+	}
+	working, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	done := make(chan error, 1)
+	go func() { done <- work(working, l) }()
+	renewed := make(chan error, 1)
+	renewing, lost := false, false
+	lose := func(until time.Time) {
+		if !lost {
+			lost = true
+			stop(ErrLost)
+			c.event("lost", l.Token, until, 0)
+		}
+	}
+	next := time.NewTimer(ttl / renewals)
+	defer next.Stop()
+	end := time.NewTimer(time.Until(l.Until()))
+	defer end.Stop()
+	for {
+		select {
+		case err := <-done:
+			cause := context.Cause(working)
+			return err, errors.Is(cause, ErrLost) || errors.Is(cause, ErrAsked)
+		case <-end.C:
+			if left := time.Until(l.Until()); left > 0 {
+				end.Reset(left)
+			} else {
+				lose(l.Until())
+			}
+		case <-next.C:
+			if !renewing && !lost { // also while the work finishes its last step
+				renewing = true
+				go func() {
+					ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), l.Until())
+					defer cancel()
+					renewed <- c.renew(ctx, l, ttl)
+				}()
+			}
+			next.Reset(ttl / renewals)
+		case err := <-renewed:
+			renewing = false
+			switch {
+			case err == nil:
+				c.event("renewed", l.Token, l.Until(), 0)
+			case errors.Is(err, ErrLost):
+				lose(time.Time{})
+			}
+		case d := <-c.news:
+			switch {
+			case d.Rev < l.Token: // of before
+			case d.Holder != l.Who || d.Token != l.Token || d.Revoked:
+				lose(time.Time{})
+			case d.Asked && working.Err() == nil:
+				stop(ErrAsked)
+				c.event("asked", l.Token, l.Until(), 0)
+			}
+		}
+	}
+}
+
+// release gives up the duty, or with token 0 the place in its queue, also when the caller's context has ended.
+func (c *candidate) release(token uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseWait)
+	defer cancel()
+	if _, err := c.client.Duty(ctx, table.Release, c.name, registry.DutyCall{Who: c.opts.Who, Token: token}); err == nil && token != 0 {
+		c.event("released", token, time.Time{}, 0)
+	}
+}
--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -147,6 +147,7 @@
 type Write struct {
 	ID    string  // "" takes a new one
 	IfRev *uint64 // the revision that the entry must have; 0: it must not be there. nil: any
+	Guard *Guard  // the duty under whose token the write counts, for Register and SetState; nil: none
 }
 
 func (w *Write) id() string {
@@ -163,6 +164,9 @@
 	if w.IfRev != nil {
 		in["if_rev"] = *w.IfRev
 	}
+	if w.Guard != nil {
+		in["guard"] = w.Guard
+	}
 	return res, c.post(ctx, "/registry/instances", in, &res)
 }
 
@@ -179,6 +183,9 @@
 	if w.IfRev != nil {
 		in["if_rev"] = *w.IfRev
 	}
+	if w.Guard != nil {
+		in["guard"] = w.Guard
+	}
 	return res, c.post(ctx, "/registry/state", in, &res)
 }
 
--- /dev/null
+++ b/internal/registry/duty.go
@@ -0,0 +1,380 @@
+package registry
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"milldeck/internal/duty/table"
+)
+
+// Guard makes a write conditional on a duty: it is checked when the record is applied, not before.
+type Guard struct {
+	Duty  string `json:"duty"`
+	Token uint64 `json:"token"`
+}
+
+// dutyDrift is the part of a lease that the leader waits beyond its end. A holder counts from before it sent its
+// renewal and stops a margin earlier (duty.Margin); clocks of one kind differ by far less than a thousandth, so this
+// covers what is between a reading of the clock and what is done by it.
+const dutyDrift = 0.05
+
+// dutyLeases are the leader's: who of the holders and candidates was heard when, by the monotonic clock. A renewal is
+// no write; a new leader gives all their full time again, and as a renewal counts only when its leadership was
+// proved after it came, that is never less than an old leader has promised.
+type dutyLeases struct {
+	mu sync.Mutex
+	of map[dutyKey]*dutyLease
+}
+
+type dutyKey struct{ name, who string }
+
+type dutyLease struct {
+	token   uint64 // 0: a candidate
+	ttl     time.Duration
+	renewed time.Time
+	ending  bool // its end is on the way into the log: it cannot be renewed any more
+}
+
+func newDutyLeases() *dutyLeases { return &dutyLeases{of: map[dutyKey]*dutyLease{}} }
+
+// reset gives everyone the full time.
+func (l *dutyLeases) reset(now time.Time, s *State) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.of = map[dutyKey]*dutyLease{}
+	for _, d := range s.duties.Save() {
+		l.put(now, d)
+	}
+}
+
+// follow takes over what became of a duty.
+func (l *dutyLeases) follow(now time.Time, s *State, name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d, is := s.duties.Get(name)
+	if !is {
+		return
+	}
+	for key := range l.of {
+		if key.name == name && key.who != d.Holder && !slices.Contains(d.Queue, key.who) {
+			delete(l.of, key)
+		}
+	}
+	l.put(now, &d)
+}
+
+// put begins the leases that are not known; the caller holds the lock.
+func (l *dutyLeases) put(now time.Time, d *table.Duty) {
+	ttl := time.Duration(d.TTLMS) * time.Millisecond
+	begin := func(who string, token uint64) {
+		key := dutyKey{d.Name, who}
+		if old := l.of[key]; old == nil || old.token != token {
+			l.of[key] = &dutyLease{token: token, ttl: ttl, renewed: now}
+		}
+	}
+	if d.Holder != "" {
+		begin(d.Holder, d.Token)
+	}
+	for _, who := range d.Queue {
+		begin(who, 0)
+	}
+}
+
+// renew extends a lease; false where there is none under the token.
+func (l *dutyLeases) renew(now time.Time, s *State, name, who string, token uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.of[dutyKey{name, who}]
+	if e == nil || e.ending || e.token != token {
+		return false
+	}
+	if d, _ := s.duties.Get(name); token != 0 && !s.duties.Holds(name, token) || token == 0 && !slices.Contains(d.Queue, who) {
+		return false
+	}
+	e.renewed = now
+	return true
+}
+
+// ended finds the leases that are over, and those that an earlier call found and that still stand.
+func (l *dutyLeases) ended(now time.Time) []table.Op {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []table.Op
+	for key, e := range l.of {
+		if now.Sub(e.renewed) > e.ttl+time.Duration(dutyDrift*float64(e.ttl)) {
+			e.ending = true
+			out = append(out, table.Op{Kind: table.Lapse, Name: key.name, Who: key.who, Token: e.token})
+		}
+	}
+	slices.SortFunc(out, func(a, b table.Op) int {
+		return cmp.Or(strings.Compare(a.Name, b.Name), cmp.Compare(b.Token, a.Token), strings.Compare(a.Who, b.Who))
+	})
+	return out
+}
+
+// lapse ends the leases of duties that are over.
+func (r *Replica) lapse() {
+	for _, op := range r.duties.ended(time.Now()) {
+		if _, err := r.write(&Record{Op: OpDuty, Duty: &op}); err != nil {
+			return // found again, by this leader or the next
+		}
+		r.followDuty(op.Name)
+		slog.Info("lease of a duty ended", "duty", op.Name, "who", op.Who, "token", op.Token)
+	}
+}
+
+func (r *Replica) followDuty(name string) {
+	r.hub.Read(func(s *State) { r.duties.follow(time.Now(), s, name) })
+}
+
+// DutyCall is the body of a call about one duty.
+type DutyCall struct {
+	ID    string `json:"id"`
+	Who   string `json:"who"`
+	Token uint64 `json:"token"`
+	TTLMS int64  `json:"ttl_ms"`
+	To    string `json:"to"`
+	Data  []byte `json:"data"`
+}
+
+func (r *Replica) serveDuty(w http.ResponseWriter, req *http.Request) {
+	var in DutyCall
+	if !body(w, req, &in) {
+		return
+	}
+	op := table.Op{
+		Kind: table.Kind(req.PathValue("op")), Name: req.PathValue("name"), Who: in.Who, Token: in.Token, TTLMS: in.TTLMS,
+		To: in.To, Data: in.Data,
+	}
+	err := op.Check()
+	if err == nil && op.Kind == table.Lapse {
+		err = bad("op", "only the leader finds that a lease has ended")
+	}
+	if err == nil {
+		err = writeID(in.ID)
+	}
+	if err != nil {
+		refuse(w, http.StatusBadRequest, err)
+		return
+	}
+	res, err := r.write(&Record{Op: OpDuty, ID: in.ID, Duty: &op})
+	if err != nil {
+		r.noLeader(w)
+		return
+	}
+	r.followDuty(op.Name)
+	if res.Outcome != Done {
+		status := map[Outcome]int{Conflict: http.StatusConflict, NotFound: http.StatusNotFound, TooMany: http.StatusInsufficientStorage}
+		answer(w, status[res.Outcome], res)
+		return
+	}
+	r.answerDuty(w, op.Name)
+}
+
+func (r *Replica) answerDuty(w http.ResponseWriter, name string) {
+	var d table.Duty
+	var is bool
+	r.hub.Read(func(s *State) { d, is = s.duties.Get(name) })
+	if !is {
+		refuse(w, http.StatusNotFound, fmt.Errorf("there is no duty %s", name))
+		return
+	}
+	r.mark(w)
+	answer(w, http.StatusOK, d)
+}
+
+func (r *Replica) serveDutyGet(w http.ResponseWriter, req *http.Request) {
+	if r.fresh(w, req) {
+		r.answerDuty(w, req.PathValue("name"))
+	}
+}
+
+// DutyRenewal asks for more time, as a holder under its token or as a candidate under none.
+type DutyRenewal struct {
+	Name  string `json:"name"`
+	Token uint64 `json:"token"`
+}
+
+func (r *Replica) serveDutyRenew(w http.ResponseWriter, req *http.Request) {
+	var in struct {
+		Who    string        `json:"who"`
+		Duties []DutyRenewal `json:"duties"`
+	}
+	if !body(w, req, &in) {
+		return
+	}
+	if in.Who == "" || len(in.Duties) == 0 || len(in.Duties) > table.MaxDuties {
+		refuse(w, http.StatusBadRequest, bad("duties", "%d entries of %q", len(in.Duties), in.Who))
+		return
+	}
+	// Proved after the call came: a leader that others have replaced meanwhile must promise nothing.
+	ctx, cancel := context.WithTimeout(req.Context(), applyWait)
+	defer cancel()
+	if r.settle(ctx) != nil {
+		r.noLeader(w)
+		return
+	}
+	lost := []string{}
+	r.hub.Read(func(s *State) {
+		for _, d := range in.Duties {
+			if !r.duties.renew(time.Now(), s, d.Name, in.Who, d.Token) {
+				lost = append(lost, d.Name)
+			}
+		}
+	})
+	answer(w, http.StatusOK, map[string][]string{"lost": lost})
+}
+
+// serveDuties lists all duties, or follows one of them: a line for each of its changes, an empty one every 2 s.
+func (r *Replica) serveDuties(w http.ResponseWriter, req *http.Request) {
+	name := req.URL.Query().Get("watch")
+	if name == "" {
+		if !r.fresh(w, req) {
+			return
+		}
+		var list []*table.Duty
+		r.hub.Read(func(s *State) { list = s.duties.Save() })
+		r.mark(w)
+		answer(w, http.StatusOK, list)
+		return
+	}
+	if r.watchers.Add(1) > mostWatchers {
+		r.watchers.Add(-1)
+		w.Header().Set("Retry-After", retryIn)
+		refuse(w, http.StatusServiceUnavailable, errors.New("too many watchers"))
+		return
+	}
+	defer r.watchers.Add(-1)
+	w.Header().Set("Content-Type", "application/json")
+	out := http.NewResponseController(w)
+	quiet := time.NewTicker(emptyLine)
+	defer quiet.Stop()
+	for told, first := uint64(0), true; ; first = false {
+		var d table.Duty
+		var woken <-chan struct{}
+		r.hub.mu.RLock()
+		d, _ = r.hub.state.duties.Get(name)
+		woken = r.hub.woken
+		r.hub.mu.RUnlock()
+		if d.Rev > told || first {
+			told = d.Rev
+			d.Name = name
+			data, err := json.Marshal(d)
+			if err != nil || send(w, out, [][]byte{append(data, '\n')}) != nil {
+				return
+			}
+		}
+		select {
+		case <-req.Context().Done():
+			return
+		case <-r.ctx.Done():
+			return
+		case <-woken:
+		case <-quiet.C:
+			if r.age() < staleAfter && send(w, out, [][]byte{{'\n'}}) != nil {
+				return
+			}
+		}
+	}
+}
+
+// Duty makes one call about a duty and returns it as it then is.
+func (c *Client) Duty(ctx context.Context, kind table.Kind, name string, in DutyCall) (table.Duty, error) {
+	if in.ID == "" {
+		in.ID = NewID()
+	}
+	var d table.Duty
+	return d, c.post(ctx, "/duties/"+url.PathEscape(name)+"/"+string(kind), in, &d)
+}
+
+// GetDuty reads a duty, as the leader has it.
+func (c *Client) GetDuty(ctx context.Context, name string) (table.Duty, error) {
+	var d table.Duty
+	return d, c.call(ctx, http.MethodGet, "/duties/"+url.PathEscape(name)+"?fresh=1", nil, &d)
+}
+
+// Duties lists them, as the leader has them.
+func (c *Client) Duties(ctx context.Context) ([]table.Duty, error) {
+	var list []table.Duty
+	return list, c.call(ctx, http.MethodGet, "/duties?fresh=1", nil, &list)
+}
+
+// RenewDuties asks for more time for duties that who holds or waits for, and returns those that it has lost.
+func (c *Client) RenewDuties(ctx context.Context, who string, duties []DutyRenewal) ([]string, error) {
+	var out struct {
+		Lost []string `json:"lost"`
+	}
+	return out.Lost, c.post(ctx, "/duties/renew", map[string]any{"who": who, "duties": duties}, &out)
+}
+
+// WatchDuty calls do with a duty as it is and after each change, going from replica to replica until ctx ends. An
+// older state than one told before is left out.
+func (c *Client) WatchDuty(ctx context.Context, name string, do func(table.Duty)) error {
+	newest, begun := uint64(0), false
+	for backoff := firstBackoff; ; backoff = min(2*backoff, mostBackoff) {
+		n := c.at.Load()
+		err := c.watchDuty(ctx, c.replicas[int(n)%len(c.replicas)], name, func(d table.Duty) {
+			backoff = firstBackoff
+			if d.Rev > newest || !begun {
+				newest, begun = d.Rev, true
+				do(d)
+			}
+		})
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		slog.Debug("watch of a duty moves on", "duty", name, "error", err)
+		c.at.CompareAndSwap(n, n+1)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(backoff):
+		}
+	}
+}
+
+func (c *Client) watchDuty(ctx context.Context, replica, name string, do func(table.Duty)) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	guard := time.AfterFunc(Silence, func() { cancel(errSilent) })
+	defer guard.Stop()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+replica+"/duties?watch="+url.QueryEscape(name), nil)
+	if err != nil {
+		return err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return cmp.Or(context.Cause(ctx), err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return &StatusError{resp.StatusCode, resp.Status}
+	}
+	in := bufio.NewScanner(resp.Body)
+	in.Buffer(make([]byte, 0, 4096), maxLine)
+	for in.Scan() {
+		guard.Reset(Silence)
+		if len(bytes.TrimSpace(in.Bytes())) == 0 {
+			continue
+		}
+		var d table.Duty
+		if err := json.Unmarshal(in.Bytes(), &d); err != nil {
+			return fmt.Errorf("watch of duty %s: %w", name, err)
+		}
+		do(d)
+	}
+	return cmp.Or(context.Cause(ctx), in.Err(), io.ErrUnexpectedEOF)
+}
--- a/internal/registry/http.go
+++ b/internal/registry/http.go
@@ -43,6 +43,10 @@
 	mux.HandleFunc("POST /registry/state", r.leaderOnly(r.serveState))
 	mux.HandleFunc("POST /registry/renew", r.leaderOnly(r.serveRenew))
 	mux.HandleFunc("POST /registry/suspects", r.leaderOnly(r.serveSuspects))
+	mux.HandleFunc("GET /duties", r.serveDuties)
+	mux.HandleFunc("GET /duties/{name}", r.serveDutyGet)
+	mux.HandleFunc("POST /duties/renew", r.leaderOnly(r.serveDutyRenew))
+	mux.HandleFunc("POST /duties/{name}/{op}", r.leaderOnly(r.serveDuty))
 	mux.HandleFunc("GET /registry/status", r.serveStatus)
 	mux.HandleFunc("GET /registry/members", r.serveMembers)
 	mux.HandleFunc("POST /registry/members", r.leaderOnly(r.serveAddMember))
@@ -248,6 +252,7 @@
 type registration struct {
 	ID      string     `json:"id"`
 	IfRev   *uint64    `json:"if_rev"`
+	Guard   *Guard     `json:"guard"`
 	Targets []Instance `json:"targets"`
 }
 
@@ -274,7 +279,7 @@
 		}
 		uids = append(uids, t.UID)
 	}
-	return &Record{Op: OpRegister, ID: in.ID, IfRev: in.IfRev, Instances: in.Targets}, uids, nil
+	return &Record{Op: OpRegister, ID: in.ID, IfRev: in.IfRev, Guard: in.Guard, Instances: in.Targets}, uids, nil
 }
 
 func (r *Replica) serveRegister(w http.ResponseWriter, req *http.Request) {
@@ -309,6 +314,7 @@
 		UID   string `json:"uid"`
 		State string `json:"state"`
 		IfRev uint64 `json:"if_rev"`
+		Guard *Guard `json:"guard"`
 	}
 	if !body(w, req, &in) {
 		return
@@ -324,7 +330,7 @@
 		refuse(w, http.StatusBadRequest, err)
 		return
 	}
-	r.done(w, &Record{Op: OpState, ID: in.ID, State: in.State, Refs: []Ref{{in.UID, in.IfRev}}}, []string{in.UID})
+	r.done(w, &Record{Op: OpState, ID: in.ID, State: in.State, Guard: in.Guard, Refs: []Ref{{in.UID, in.IfRev}}}, []string{in.UID})
 }
 
 // Renewal answers a batch of renewals.
--- a/internal/registry/hub.go
+++ b/internal/registry/hub.go
@@ -48,8 +48,11 @@
 func (h *Hub) Apply(index uint64, r *Record) (Result, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	before, epoch := h.state.Rev(), h.state.Epoch()
+	before, epoch, duties := h.state.Rev(), h.state.Epoch(), h.state.duties.Rev()
 	res := h.state.Apply(index, r)
+	if h.state.duties.Rev() != duties {
+		h.wake()
+	}
 	if h.state.Epoch() != epoch {
 		h.lines = nil
 		h.wake()
--- a/internal/registry/record.go
+++ b/internal/registry/record.go
@@ -12,6 +12,8 @@
 	"net/netip"
 
 	"github.com/cespare/xxhash/v2"
+
+	"milldeck/internal/duty/table"
 )
 
 // Target is an instance in the form in which PROTOCOL's discovery lists it.
@@ -105,6 +107,7 @@
 	OpExpire     Op = "expire"     // Refs: those whose leases ended, if they have not changed since
 	OpSuspect    Op = "suspect"    // Refs, On: held back from expiry, or no longer
 	OpEpoch      Op = "epoch"      // Epoch: this list does not continue the one before
+	OpDuty       Op = "duty"       // Duty
 	OpFollow     Op = "follow"     // Instances and Refs: set and removed unchecked, by an agent that follows a registry
 )
 
@@ -124,6 +127,8 @@
 	State     string     `json:"state,omitempty"`
 	On        bool       `json:"on,omitempty"`
 	Epoch     uint64     `json:"epoch,omitempty"`
+	Duty      *table.Op  `json:"duty,omitempty"`
+	Guard     *Guard     `json:"guard,omitempty"` // the write counts only under this duty's token
 }
 
 // recordVersion is the first byte of a record; a newer one is refused, an older one read.
--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -76,6 +76,7 @@
 	opts    Options
 	hub     *Hub
 	leases  *leases
+	duties  *dutyLeases
 	raft    *raft.Raft
 	store   io.Closer
 	trans   *raft.NetworkTransport
@@ -112,7 +113,7 @@
 	if opts.Expiry.Within == 0 {
 		opts.Expiry.Within = defaultWithin
 	}
-	r := &Replica{opts: opts, hub: NewHub(), leases: newLeases(opts.Expiry), began: time.Now(), fatal: make(chan error, 1)}
+	r := &Replica{opts: opts, hub: NewHub(), leases: newLeases(opts.Expiry), duties: newDutyLeases(), began: time.Now(), fatal: make(chan error, 1)}
 	r.metrics = newMetrics(r)
 	r.ctx, r.stop = context.WithCancel(context.Background())
 	// The clients' address is bound first: a replica that nobody can ask must not vote.
@@ -415,7 +416,10 @@
 		return err
 	}
 	r.verified.Store(int64(time.Since(r.began)))
-	r.hub.Read(func(s *State) { r.leases.reset(time.Now(), s) })
+	r.hub.Read(func(s *State) {
+		r.leases.reset(time.Now(), s)
+		r.duties.reset(time.Now(), s)
+	})
 	r.leading.Store(true)
 	r.metrics.changes.Inc()
 	slog.Info("leads", "http", r.opts.HTTP)
@@ -456,6 +460,7 @@
 			r.verified.Store(int64(asked))
 		case <-sweep.C:
 			r.expire()
+			r.lapse()
 		}
 	}
 }
@@ -582,6 +587,9 @@
 		return Result{}, err
 	}
 	res, err := r.write(&Record{Op: OpEpoch, Epoch: newEpoch()})
-	r.hub.Read(func(s *State) { r.leases.reset(time.Now(), s) })
+	r.hub.Read(func(s *State) {
+		r.leases.reset(time.Now(), s)
+		r.duties.reset(time.Now(), s)
+	})
 	return res, err
 }
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -11,6 +11,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"milldeck/internal/duty/table"
 )
 
 // Bounds of what the state keeps.
@@ -55,11 +57,12 @@
 	forgotten uint64   // the revision of the newest change that history has lost
 	writes    map[string]Result
 	order     []string // of writes, oldest first
+	duties    *table.Table
 }
 
 // NewState is the empty state.
 func NewState() *State {
-	return &State{instances: map[string]*Instance{}, writes: map[string]Result{}}
+	return &State{instances: map[string]*Instance{}, writes: map[string]Result{}, duties: table.New()}
 }
 
 // Rev is the revision of the list.
@@ -108,7 +111,12 @@
 }
 
 func (s *State) do(index uint64, r *Record) Result {
+	if g := r.Guard; g != nil && !s.duties.Holds(g.Duty, g.Token) {
+		return Result{Conflict, s.duties.Rev(), fmt.Sprintf("token %d of duty %s counts no more", g.Token, g.Duty)}
+	}
 	switch r.Op {
+	case OpDuty:
+		return s.doDuty(index, r.Duty)
 	case OpRegister:
 		return s.register(index, r)
 	case OpState, OpDeregister:
@@ -152,6 +160,18 @@
 	}
 }
 
+// Duties is the table of duties, for reading.
+func (s *State) Duties() *table.Table { return s.duties }
+
+func (s *State) doDuty(index uint64, op *table.Op) Result {
+	if op == nil {
+		return Result{Conflict, s.duties.Rev(), "no operation"}
+	}
+	outcome, why := s.duties.Apply(index, op)
+	of := map[table.Outcome]Outcome{table.Done: Done, table.Stale: Conflict, table.NotFound: NotFound, table.TooMany: TooMany}
+	return Result{of[outcome], s.duties.Rev(), why}
+}
+
 // register takes in new instances and new lives of known ones; all of a batch or none.
 func (s *State) register(index uint64, r *Record) Result {
 	fresh := 0
@@ -301,11 +321,13 @@
 	Instances []*Instance       `json:"instances"`
 	Writes    map[string]Result `json:"writes"`
 	Order     []string          `json:"order"`
+	Duties    []*table.Duty     `json:"duties,omitempty"`
 }
 
 // Snapshot writes the state. History is left out: watches that come back after a restore get the whole list.
 func (s *State) Snapshot(w io.Writer) error {
-	snap := snapshot{Rev: s.rev, Applied: s.applied, Epoch: s.epoch, Instances: []*Instance{}, Writes: s.writes, Order: s.order}
+	snap := snapshot{Rev: s.rev, Applied: s.applied, Epoch: s.epoch, Instances: []*Instance{}, Writes: s.writes, Order: s.order,
+		Duties: s.duties.Save()}
 	for _, uid := range slices.Sorted(maps.Keys(s.instances)) {
 		snap.Instances = append(snap.Instances, s.instances[uid])
 	}
@@ -355,6 +377,10 @@
 		}
 		s.instances[i.UID] = i
 	}
+	if slices.Contains(snap.Duties, nil) {
+		return nil, fmt.Errorf("snapshot: an empty duty")
+	}
+	s.duties = table.Load(snap.Duties)
 	if snap.Writes != nil {
 		s.writes, s.order = snap.Writes, snap.Order
 	}
