--- a/cmd/milldeck/duty.go
+++ b/cmd/milldeck/duty.go
@@ -28,7 +28,7 @@
 		Args: exactly(0),
 		RunE: func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
-	c.AddCommand(newHold(), newDutyList(), newDutyWatch(), newDutyRelease(), newHandover(), newTakeaway())
+	c.AddCommand(newHold(), newDutyList(), newDutyWatch(), newDutyRelease(), newHandover(), newTakeaway(), newDutyBench())
 	return c
 }
 
@@ -57,8 +57,8 @@
 			err = duty.Run(c.Context(), client, args[0], opts, func(ctx context.Context, l *duty.Lease) error {
 				return keep(ctx, l, save, out)
 			})
-			if errors.Is(err, context.Canceled) || errors.Is(err, duty.ErrAsked) {
-				return nil
+			if c.Context().Err() != nil || errors.Is(err, duty.ErrAsked) {
+				return nil // it was told to end, and what it held is released or runs out
 			}
 			return err
 		},
