--- a/cmd/milldeck/duty.go
+++ b/cmd/milldeck/duty.go
@@ -37,12 +37,17 @@
 	var save time.Duration
 	a := &asking{}
 	c := &cobra.Command{
-		Use:   "hold NAME",
-		Short: "Waits for a duty and holds it until SIGTERM",
-		Long: "hold waits for a duty, holds it until an interrupt and releases it. It prints a JSON line for each step: waiting,\n" +
+		Use:   "hold NAME...",
+		Short: "Waits for duties and holds them until SIGTERM",
+		Long: "hold waits for duties, holds each until an interrupt and releases it. It prints a JSON line for each step: waiting,\n" +
 			"acquired, renewed, asked, lost, released, with token and times. After a loss it seeks the duty again.\n\n" + exitHelp,
 		Example: "  milldeck duty hold backup --ttl 5s\n  milldeck duty hold backup --once",
-		Args:    exactly(1),
+		Args: func(_ *cobra.Command, args []string) error {
+			if len(args) == 0 {
+				return usageError{errors.New("duty hold takes the names of duties")}
+			}
+			return nil
+		},
 		RunE: func(c *cobra.Command, args []string) error {
 			if ttl := opts.TTL.Milliseconds(); ttl < table.MinTTLMS || ttl > table.MaxTTLMS {
 				return usageError{fmt.Errorf("--ttl: %v is not within %d ms to %d ms", opts.TTL, table.MinTTLMS, table.MaxTTLMS)}
@@ -54,10 +59,20 @@
 			defer client.Close()
 			out := &lines{enc: json.NewEncoder(c.OutOrStdout())}
 			opts.Events = func(e duty.Event) { out.print(e) }
-			err = duty.Run(c.Context(), client, args[0], opts, func(ctx context.Context, l *duty.Lease) error {
-				return keep(ctx, l, save, out)
-			})
-			if c.Context().Err() != nil || errors.Is(err, duty.ErrAsked) {
+			ended := make(chan error, len(args))
+			for _, name := range args {
+				go func() {
+					ended <- duty.Run(c.Context(), client, name, opts, func(ctx context.Context, l *duty.Lease) error {
+						return keep(ctx, l, save, out)
+					})
+				}()
+			}
+			for range args {
+				if e := <-ended; !errors.Is(e, duty.ErrAsked) {
+					err = errors.Join(err, e)
+				}
+			}
+			if c.Context().Err() != nil {
 				return nil // it was told to end, and what it held is released or runs out
 			}
 			return err
--- a/cmd/milldeck/registry.go
+++ b/cmd/milldeck/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -19,6 +20,7 @@
 
 	"milldeck/internal/agent"
 	"milldeck/internal/conf"
+	"milldeck/internal/duty"
 	"milldeck/internal/registry"
 )
 
@@ -55,6 +57,19 @@
 		Share   float64 `toml:"share"`
 		WithinS float64 `toml:"within_s"`
 	} `toml:"expiry"`
+	Backup struct {
+		Dir    string  `toml:"dir"` // of all replicas; "": none are made
+		EveryS float64 `toml:"every_s"`
+		Keep   int     `toml:"keep"`
+	} `toml:"backup"`
+}
+
+// backups are what the configuration says of them, with the defaults: hourly, a day's worth.
+func (f *serveFile) backups() duty.BackupOptions {
+	every := time.Duration(f.Backup.EveryS * float64(time.Second))
+	return duty.BackupOptions{
+		Dir: f.Backup.Dir, Every: cmp.Or(every, time.Hour), Keep: cmp.Or(f.Backup.Keep, 24), Who: f.HTTP + "/" + registry.NewID(),
+	}
 }
 
 type memberFile struct {
@@ -80,6 +95,10 @@
 		return o, at.Errorf("dir", "a replica needs a folder")
 	case f.Expiry.Share < 0 || f.Expiry.Share > 1:
 		return o, at.Errorf("expiry.share", "%v is not within 0 to 1", f.Expiry.Share)
+	case f.Backup.EveryS < 0:
+		return o, at.Errorf("backup.every_s", "%v is negative", f.Backup.EveryS)
+	case f.Backup.Keep < 0:
+		return o, at.Errorf("backup.keep", "%d is negative", f.Backup.Keep)
 	case f.Expiry.WithinS < 0:
 		return o, at.Errorf("expiry.within_s", "%v is negative", f.Expiry.WithinS)
 	case len(f.Members) > 0 && !slices.Contains([]int{1, 3, 5}, len(f.Members)):
@@ -112,11 +131,11 @@
 		Args: exactly(0),
 		RunE: func(c *cobra.Command, _ []string) error {
 			o := registry.Options{HTTP: devHTTP, Raft: devRaft, Members: []registry.Member{{HTTP: devHTTP, Raft: devRaft}}}
+			var f serveFile
 			switch {
 			case dev == (path != ""):
 				return usageError{errors.New("registry serve takes --config FILE or --dev")}
 			case !dev:
-				var f serveFile
 				var err error
 				if o, err = f.load(path); err != nil {
 					return err
@@ -127,6 +146,13 @@
 				return err
 			}
 			slog.Info("serves", "http", r.Addr(), "raft", o.Raft)
+			if f.Backup.Dir != "" {
+				ended, err := backUp(c.Context(), o, f.backups())
+				if err != nil {
+					return errors.Join(err, r.Close())
+				}
+				defer func() { <-ended }()
+			}
 			select {
 			case <-c.Context().Done():
 				return r.Close()
@@ -140,6 +166,32 @@
 	return c
 }
 
+// backUp takes part in the duty of backups, by way of any replica, until ctx ends.
+func backUp(ctx context.Context, o registry.Options, b duty.BackupOptions) (ended <-chan struct{}, err error) {
+	replicas := []string{o.HTTP}
+	for _, m := range o.Members {
+		if m.HTTP != o.HTTP {
+			replicas = append(replicas, m.HTTP)
+		}
+	}
+	client, err := registry.NewClient(replicas)
+	if err != nil {
+		return nil, err
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		defer client.Close()
+		for ctx.Err() == nil {
+			if err := duty.Backup(ctx, client, b); err != nil && ctx.Err() == nil {
+				slog.Error("no part in the duty of backups", "error", err)
+				time.Sleep(time.Second) // the registry has had no leader for long
+			}
+		}
+	}()
+	return done, nil
+}
+
 // asking are the flags of commands that ask the registry.
 type asking struct {
 	replicas []string
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -21,10 +21,6 @@
 const (
 	// renewals come so many times in a lease: two may be lost.
 	renewals = 3
-	// marginPart and leastMargin are what a holder stops before its lease ends: what it began has to be over by then,
-	// and a scheduler that keeps it waiting for a moment must not carry it past the end.
-	marginPart  = 0.1
-	leastMargin = 50 * time.Millisecond
 	// releaseWait bounds the release of one that is ending; without it the lease runs out by itself.
 	releaseWait = 2 * time.Second
 
@@ -38,11 +34,6 @@
 	ErrAsked = errors.New("the holder is asked to step down")
 )
 
-// Margin is how long before the end of a lease its holder stops.
-func Margin(ttl time.Duration) time.Duration {
-	return max(time.Duration(marginPart*float64(ttl)), leastMargin)
-}
-
 // Event is what becomes of a candidate: waiting, acquired, renewed, asked, lost or released.
 type Event struct {
 	What  string    `json:"what"`
@@ -72,6 +63,7 @@
 	client *registry.Client
 	mu     sync.Mutex
 	until  time.Time // by the monotonic clock
+	over   bool      // the work has ended: a renewal that is still under way changes nothing
 }
 
 // Until is when the holder has to have stopped, unless it is renewed before.
@@ -84,6 +76,13 @@
 // Valid tells whether the lease holds now. By the time that the caller acts on it, it may not: see the package.
 func (l *Lease) Valid() bool { return time.Now().Before(l.Until()) }
 
+// end makes the lease invalid before it is released.
+func (l *Lease) end() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.over, l.until = true, time.Time{}
+}
+
 // Guard makes a write to the list service count only under this lease.
 func (l *Lease) Guard() *registry.Guard { return &registry.Guard{Duty: l.Name, Token: l.Token} }
 
@@ -124,6 +123,7 @@
 			continue // it went to another before it was taken up
 		}
 		err, told := c.hold(ctx, l, work)
+		l.end()
 		c.release(l.Token)
 		if !told || opts.Once || ctx.Err() != nil {
 			return err
@@ -228,7 +228,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if until := sent.Add(ttl - Margin(ttl)); until.After(l.until) {
+	if until := sent.Add(ttl - table.Margin(ttl)); until.After(l.until) && !l.over {
 		l.until = until
 	}
 	return nil
--- a/internal/duty/table/table.go
+++ b/internal/duty/table/table.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"time"
 )
 
 // Bounds of what the table keeps.
@@ -20,6 +21,18 @@
 	MaxTTLMS = 3600 * 1000 // longer than an hour is no lease
 )
 
+// A holder stops so long before its lease ends: what it began has to be over by then, and a scheduler that keeps it
+// waiting for a moment must not carry it past the end.
+const (
+	marginPart  = 0.1
+	leastMargin = 50 * time.Millisecond
+)
+
+// Margin is how long before the end of a lease its holder stops.
+func Margin(ttl time.Duration) time.Duration {
+	return max(time.Duration(marginPart*float64(ttl)), leastMargin)
+}
+
 // Duty is one duty. Token is the log's index at which the holder got it; it only rises.
 type Duty struct {
 	Name    string   `json:"name"`
--- a/internal/registry/duty.go
+++ b/internal/registry/duty.go
@@ -27,7 +27,7 @@
 }
 
 // dutyDrift is the part of a lease that the leader waits beyond its end. A holder counts from before it sent its
-// renewal and stops a margin earlier (duty.Margin); clocks of one kind differ by far less than a thousandth, so this
+// renewal and stops a margin earlier (table.Margin); clocks of one kind differ by far less than a thousandth, so this
 // covers what is between a reading of the clock and what is done by it.
 const dutyDrift = 0.05
 
@@ -35,8 +35,10 @@
 // no write; a new leader gives all their full time again, and as a renewal counts only when its leadership was
 // proved after it came, that is never less than an old leader has promised.
 type dutyLeases struct {
-	mu sync.Mutex
-	of map[dutyKey]*dutyLease
+	mu   sync.Mutex
+	of   map[dutyKey]*dutyLease
+	held map[string]time.Time // when a duty was last known to be held, for the time without a holder
+	gap  func(time.Duration)  // told of each such time; nil: nobody
 }
 
 type dutyKey struct{ name, who string }
@@ -44,17 +46,21 @@
 type dutyLease struct {
 	token   uint64 // 0: a candidate
 	ttl     time.Duration
+	begun   time.Time
 	renewed time.Time
+	taken   bool // renewed by its holder, who works from then on
 	ending  bool // its end is on the way into the log: it cannot be renewed any more
 }
 
-func newDutyLeases() *dutyLeases { return &dutyLeases{of: map[dutyKey]*dutyLease{}} }
+func newDutyLeases() *dutyLeases {
+	return &dutyLeases{of: map[dutyKey]*dutyLease{}, held: map[string]time.Time{}}
+}
 
 // reset gives everyone the full time.
 func (l *dutyLeases) reset(now time.Time, s *State) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.of = map[dutyKey]*dutyLease{}
+	l.of, l.held = map[dutyKey]*dutyLease{}, map[string]time.Time{}
 	for _, d := range s.duties.Save() {
 		l.put(now, d)
 	}
@@ -68,8 +74,15 @@
 	if !is {
 		return
 	}
-	for key := range l.of {
-		if key.name == name && key.who != d.Holder && !slices.Contains(d.Queue, key.who) {
+	for key, e := range l.of {
+		if key.name != name {
+			continue
+		}
+		if e.taken && e.token != d.Token && !e.ending { // released
+			l.held[name] = now
+			e.taken = false
+		}
+		if key.who != d.Holder && !slices.Contains(d.Queue, key.who) {
 			delete(l.of, key)
 		}
 	}
@@ -82,7 +95,7 @@
 	begin := func(who string, token uint64) {
 		key := dutyKey{d.Name, who}
 		if old := l.of[key]; old == nil || old.token != token {
-			l.of[key] = &dutyLease{token: token, ttl: ttl, renewed: now}
+			l.of[key] = &dutyLease{token: token, ttl: ttl, begun: now, renewed: now}
 		}
 	}
 	if d.Holder != "" {
@@ -105,9 +118,25 @@
 		return false
 	}
 	e.renewed = now
+	if token != 0 {
+		if since, known := l.held[name]; known && !e.taken && l.gap != nil {
+			l.gap(now.Sub(since))
+		}
+		e.taken, l.held[name] = true, now
+	}
 	return true
 }
 
+// age is how long a duty has been held under its token, as far as this leader knows.
+func (l *dutyLeases) age(now time.Time, d *table.Duty) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e := l.of[dutyKey{d.Name, d.Holder}]; e != nil && d.Holder != "" {
+		return now.Sub(e.begun)
+	}
+	return 0
+}
+
 // ended finds the leases that are over, and those that an earlier call found and that still stand.
 func (l *dutyLeases) ended(now time.Time) []table.Op {
 	l.mu.Lock()
--- a/internal/registry/metrics.go
+++ b/internal/registry/metrics.go
@@ -1,7 +1,11 @@
 package registry
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
+
+	"milldeck/internal/duty/table"
 )
 
 // metrics are a replica's own, on a register of its own, so that several run in one process.
@@ -11,6 +15,7 @@
 	held    prometheus.Counter
 	expired prometheus.Counter
 	changes prometheus.Counter // of leadership to this replica
+	gaps    prometheus.Histogram
 }
 
 func newMetrics(r *Replica) *metrics {
@@ -23,6 +28,11 @@
 		expired: prometheus.NewCounter(prometheus.CounterOpts{Name: "milldeck_registry_expired_total", Help: "Leases that ended."}),
 		changes: prometheus.NewCounter(prometheus.CounterOpts{Name: "milldeck_registry_led_total", Help: "Times that this replica became the leader."}),
 	}
+	m.gaps = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "milldeck_duty_gap_seconds", Help: "Time without a holder, seen by this leader: from a release or the last renewal to the next holder's first.",
+		Buckets: prometheus.ExponentialBuckets(0.01, 2, 14),
+	})
+	r.duties.gap = func(d time.Duration) { m.gaps.Observe(d.Seconds()) }
 	gauge := func(name, help string, of func(Status) float64) {
 		m.all.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 { return of(r.status()) }))
 	}
@@ -37,6 +47,43 @@
 		}
 		return 0
 	})
-	m.all.MustRegister(m.writes, m.held, m.expired, m.changes)
+	m.all.MustRegister(m.writes, m.held, m.expired, m.changes, m.gaps, &dutyCollector{r})
 	return m
 }
+
+// mostDutyMetrics bounds the series: beyond so many duties only the first by name have their own.
+const mostDutyMetrics = 1000
+
+var (
+	dutyHeld    = prometheus.NewDesc("milldeck_duty_held", "1 while the duty has a holder whose token counts.", []string{"duty"}, nil)
+	dutyChanges = prometheus.NewDesc("milldeck_duty_changes_total", "Changes of the duty's holder.", []string{"duty"}, nil)
+	dutyQueue   = prometheus.NewDesc("milldeck_duty_candidates", "Candidates that wait for the duty.", []string{"duty"}, nil)
+	dutyAge     = prometheus.NewDesc("milldeck_duty_age_seconds", "How long the duty has been held, on the leader.", []string{"duty"}, nil)
+)
+
+// dutyCollector tells of each duty as the replica has it.
+type dutyCollector struct{ r *Replica }
+
+func (c *dutyCollector) Describe(to chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{dutyHeld, dutyChanges, dutyQueue, dutyAge} {
+		to <- d
+	}
+}
+
+func (c *dutyCollector) Collect(to chan<- prometheus.Metric) {
+	var list []*table.Duty
+	c.r.hub.Read(func(s *State) { list = s.duties.Save() })
+	now := time.Now()
+	for _, d := range list[:min(len(list), mostDutyMetrics)] {
+		held := 0.0
+		if d.Holder != "" && !d.Revoked {
+			held = 1
+		}
+		to <- prometheus.MustNewConstMetric(dutyHeld, prometheus.GaugeValue, held, d.Name)
+		to <- prometheus.MustNewConstMetric(dutyChanges, prometheus.CounterValue, float64(d.Changes), d.Name)
+		to <- prometheus.MustNewConstMetric(dutyQueue, prometheus.GaugeValue, float64(len(d.Queue)), d.Name)
+		if c.r.leading.Load() {
+			to <- prometheus.MustNewConstMetric(dutyAge, prometheus.GaugeValue, c.r.duties.age(now, d).Seconds(), d.Name)
+		}
+	}
+}
