--- a/cmd/milldeck/bench.go
+++ b/cmd/milldeck/bench.go
@@ -21,22 +21,17 @@
 			"takes several and adds the restart with a long log.\n\n" + exitHelp,
 		Args: exactly(0),
 		RunE: func(c *cobra.Command, _ []string) error {
-			self, err := os.Executable()
-			if err != nil {
-				return err
-			}
-			dir, err := os.MkdirTemp("", "milldeck-bench-")
-			if err != nil {
-				return err
-			}
-			defer os.RemoveAll(dir)
 			o := bench.Quick()
 			if full {
 				o = bench.Full()
 			}
-			o.Program, o.Dir = self, dir
 			o.Progress = func(line string) { fmt.Fprintln(c.ErrOrStderr(), line) }
-			r, err := bench.Run(c.Context(), o)
+			var r *bench.Result
+			err := inFolder("milldeck-bench-", func(self, dir string) (err error) {
+				o.Program, o.Dir = self, dir
+				r, err = bench.Run(c.Context(), o)
+				return err
+			})
 			if err != nil {
 				return err
 			}
@@ -53,6 +48,20 @@
 	return c
 }
 
+// inFolder runs a benchmark of processes of this program, with a folder of its own that goes afterwards.
+func inFolder(prefix string, run func(self, dir string) error) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", prefix)
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	return run(self, dir)
+}
+
 func benchTable(w io.Writer, r *bench.Result) error {
 	_, err := fmt.Fprintf(w, `%d instances, %d watchers, %d changes (%.0f s in all)
 acknowledged write to the last watcher  p50 %.1f ms, p99 %.1f ms, at most %.1f ms; %d missed
--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -274,11 +274,30 @@
 // WatchReplica follows one replica's list after a revision of an epoch, until ctx or the watch ends, which is
 // always an error. Each line is handed on; nil is an empty one. Age is how old the replica's list was at first.
 func (c *Client) WatchReplica(ctx context.Context, replica string, rev, epoch uint64, line func(l *List, age time.Duration) error) error {
+	url := fmt.Sprintf("http://%s/registry/instances?watch=1&after=%d&epoch=%d", replica, rev, epoch)
+	var age time.Duration
+	begin := func(head http.Header) {
+		ms, _ := strconv.ParseInt(head.Get(AgeHeader), 10, 64) // none from a stand-in that does not say
+		age = time.Duration(ms) * time.Millisecond
+	}
+	return c.follow(ctx, url, begin, func(data []byte) error {
+		if len(data) == 0 {
+			return line(nil, 0)
+		}
+		var l List
+		if err := json.Unmarshal(data, &l); err != nil {
+			return fmt.Errorf("watch of %s: %w", replica, err)
+		}
+		return line(&l, age)
+	})
+}
+
+// follow reads a watch line by line until ctx, the watch or the replica's voice ends, which is always an error.
+func (c *Client) follow(ctx context.Context, url string, begin func(http.Header), line func([]byte) error) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	guard := time.AfterFunc(Silence, func() { cancel(errSilent) })
 	defer guard.Stop()
-	url := fmt.Sprintf("http://%s/registry/instances?watch=1&after=%d&epoch=%d", replica, rev, epoch)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
@@ -291,23 +310,12 @@
 	if resp.StatusCode != http.StatusOK {
 		return &StatusError{resp.StatusCode, resp.Status}
 	}
-	ms, _ := strconv.ParseInt(resp.Header.Get(AgeHeader), 10, 64) // none from a stand-in that does not say
-	age := time.Duration(ms) * time.Millisecond
+	begin(resp.Header)
 	in := bufio.NewScanner(resp.Body)
 	in.Buffer(make([]byte, 0, 4096), maxLine)
 	for in.Scan() {
 		guard.Reset(Silence)
-		if len(bytes.TrimSpace(in.Bytes())) == 0 {
-			if err := line(nil, 0); err != nil {
-				return err
-			}
-			continue
-		}
-		var l List
-		if err := json.Unmarshal(in.Bytes(), &l); err != nil {
-			return fmt.Errorf("watch of %s: %w", replica, err)
-		}
-		if err := line(&l, age); err != nil {
+		if err := line(bytes.TrimSpace(in.Bytes())); err != nil {
 			return err
 		}
 	}
--- a/internal/registry/duty.go
+++ b/internal/registry/duty.go
@@ -1,14 +1,10 @@
 package registry
 
 import (
-	"bufio"
-	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net/http"
 	"net/url"
@@ -280,10 +276,7 @@
 		answer(w, http.StatusOK, list)
 		return
 	}
-	if r.watchers.Add(1) > mostWatchers {
-		r.watchers.Add(-1)
-		w.Header().Set("Retry-After", retryIn)
-		refuse(w, http.StatusServiceUnavailable, errors.New("too many watchers"))
+	if !r.admitWatcher(w) {
 		return
 	}
 	defer r.watchers.Add(-1)
@@ -376,34 +369,16 @@
 }
 
 func (c *Client) watchDuty(ctx context.Context, replica, name string, do func(table.Duty)) error {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	guard := time.AfterFunc(Silence, func() { cancel(errSilent) })
-	defer guard.Stop()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+replica+"/duties?watch="+url.QueryEscape(name), nil)
-	if err != nil {
-		return err
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return cmp.Or(context.Cause(ctx), err)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return &StatusError{resp.StatusCode, resp.Status}
-	}
-	in := bufio.NewScanner(resp.Body)
-	in.Buffer(make([]byte, 0, 4096), maxLine)
-	for in.Scan() {
-		guard.Reset(Silence)
-		if len(bytes.TrimSpace(in.Bytes())) == 0 {
-			continue
+	at := "http://" + replica + "/duties?watch=" + url.QueryEscape(name)
+	return c.follow(ctx, at, func(http.Header) {}, func(data []byte) error {
+		if len(data) == 0 {
+			return nil
 		}
 		var d table.Duty
-		if err := json.Unmarshal(in.Bytes(), &d); err != nil {
+		if err := json.Unmarshal(data, &d); err != nil {
 			return fmt.Errorf("watch of duty %s: %w", name, err)
 		}
 		do(d)
-	}
-	return cmp.Or(context.Cause(ctx), in.Err(), io.ErrUnexpectedEOF)
+		return nil
+	})
 }
--- a/internal/registry/http.go
+++ b/internal/registry/http.go
@@ -151,6 +151,17 @@
 	return n, nil
 }
 
+// admitWatcher counts a watcher, or answers that there are too many.
+func (r *Replica) admitWatcher(w http.ResponseWriter) bool {
+	if r.watchers.Add(1) <= mostWatchers {
+		return true
+	}
+	r.watchers.Add(-1)
+	w.Header().Set("Retry-After", retryIn)
+	refuse(w, http.StatusServiceUnavailable, errors.New("too many watchers"))
+	return false
+}
+
 // serveWatch follows the list for one watcher, which is a cursor: see hub.
 func (r *Replica) serveWatch(w http.ResponseWriter, req *http.Request) {
 	after, err := number(req, "after")
@@ -163,10 +174,7 @@
 		refuse(w, http.StatusBadRequest, err)
 		return
 	}
-	if r.watchers.Add(1) > mostWatchers {
-		r.watchers.Add(-1)
-		w.Header().Set("Retry-After", retryIn)
-		refuse(w, http.StatusServiceUnavailable, errors.New("too many watchers"))
+	if !r.admitWatcher(w) {
 		return
 	}
 	defer r.watchers.Add(-1)
