Sidecar: connections in use make no room for silent ones that are about to be read

Cause: on a busy machine what half-open clients sent waits to be read, so all their connections had unread bytes; makeRoom then held them for requests under way for good, and closed the only other connection, the one that the application used.

A silent connection with something unread is now passed over for 50 ms and looked at again; meanwhile an idle one that was used is not closed, and accepting tries again after 5 ms. None is closed with something unread, as before.

--- a/internal/sidecar/conns.go
+++ b/internal/sidecar/conns.go
@@ -25,8 +25,17 @@
 	net.Conn
 	phase phase
 	since time.Time // in this phase
+	// unread is when a silent connection was last found with something to read; zero: it was not.
+	unread time.Time
 }
 
+// readSoon is how long what a connection has sent may wait to be read, on a machine that is busy. Meanwhile it may be
+// a request, and connections that the application uses make no room for it.
+const readSoon = 50 * time.Millisecond
+
+// lookAgain is how soon room is sought again where something was about to be read.
+const lookAgain = 5 * time.Millisecond
+
 // clientConns is the listener and the table of the connections it took. Where a plain listener with a limit
 // stops accepting, so that those who connect and say nothing shut all others out, this one closes the
 // connection on which nothing has happened for longest.
@@ -58,6 +67,7 @@
 	for !t.add(c) {
 		select {
 		case <-t.freed:
+		case <-time.After(lookAgain):
 		case <-t.closed:
 			c.Close()
 			return nil, net.ErrClosed
@@ -88,22 +98,32 @@
 
 // makeRoom closes one connection, if there is any on which no request waits; the caller holds the lock.
 func (t *clientConns) makeRoom() bool {
+	now := time.Now()
 	for {
 		var last *clientConn
+		pending := false
 		for _, c := range t.conns {
+			if c.phase == silent && !c.unread.IsZero() && now.Sub(c.unread) < readSoon {
+				pending = true
+				continue
+			}
 			if c.phase != serving && (last == nil ||
 				c.phase < last.phase || c.phase == last.phase && c.since.Before(last.since)) {
 				last = c
 			}
 		}
-		if last == nil {
+		if last == nil || pending && last.phase == idle {
 			return false
 		}
 		if last.phase == over || quiet(last.Conn) {
 			t.drop(last)
 			return true
 		}
-		last.phase, last.since = serving, time.Now() // its next request has come and is about to be read
+		if last.phase == silent { // its first request may have come, or a part of it: it is looked at again later
+			last.unread = now
+		} else {
+			last.phase, last.since = serving, now // its next request has come and is about to be read
+		}
 	}
 }
 
