Read once more: told is what was told, list watchers sleep through duties, one command for benchmarks

Cause, found in a second reading of the change: a server counted as told where no message is allowed or the message was full, and was later taken back for nothing; each timely answer looked a sender up though no hint held; each change of a duty woke all who follow the list, up to 20,000; the two bench commands were the same text twice.

Change: found says whether it tells; answers without a hint return first; the hub has one bell for the list and one for duties; cmd/milldeck/benchmark.go is the command of both benchmarks.

--- a/balance/hints.go
+++ b/balance/hints.go
@@ -43,18 +43,19 @@
 	b.tell.bytes = math.Min(b.tell.bytes+tellSpend*256/math.Max(b.cfg.Prices.Peer, 0.01), tellBurst)
 }
 
-// found has something told soon, with what else is found until then.
-func (b *Balancer) found(kind hintKind, whom uint32) {
+// found has something told soon, with what else is found until then; false: it is not told.
+func (b *Balancer) found(kind hintKind, whom uint32) bool {
 	t := &b.tell
 	known := slices.ContainsFunc(t.toTell, func(h hint) bool { return h.kind == kind && h.whom == whom })
-	if !b.mayTell() || known || len(t.toTell) == mostHints {
-		return
+	if known || len(t.toTell) == mostHints || !b.mayTell() {
+		return known
 	}
 	t.toTell = append(t.toTell, hint{kind, whom, b.now})
 	if !t.waiting {
 		t.waiting = true
 		b.emit(Action{Kind: SetTimer, Token: tellTimer, At: tellJitter * b.random()})
 	}
+	return true
 }
 
 // foundBad tells of a server's rest, unless this was told or heard often of late.
@@ -62,8 +63,9 @@
 	if b.now < s.toldUntil || s.heard >= heardOften && b.now < s.hintUntil {
 		return
 	}
-	s.toldUntil = b.now + b.hintLife()
-	b.found(hintBad, tag(s.ID))
+	if b.found(hintBad, tag(s.ID)) {
+		s.toldUntil = b.now + b.hintLife()
+	}
 }
 
 // answersAgain takes back what was told of a server that answers in time.
@@ -73,7 +75,10 @@
 		s.toldUntil = 0
 		b.found(hintBack, tag(s.ID))
 	}
-	if by := b.tell.senders[s.hintBy]; by != nil && b.now < s.hintUntil {
+	if b.now >= s.hintUntil { // there is none, or it is over
+		return
+	}
+	if by := b.tell.senders[s.hintBy]; by != nil {
 		by.wrong = by.wrong*math.Exp2((by.wrongAt-b.now)/b.hintLife()) + 1
 		by.wrongAt = b.now
 	}
--- a/balance/index.go
+++ b/balance/index.go
@@ -48,13 +48,13 @@
 // rotation is the servers that a first pick may choose from, all those of a sidecar whose keys stay warm: how
 // many they are, their weights by group, and the own attempts that they hold.
 type rotation struct {
-	n        int
-	inFlight int
-	groups   []*group
-	changed  []*server // to be looked at before the next pick
-	due      dueHeap   // ... and those that change by themselves
-	refreshs int       // since the sums were last made anew
-	fresh    []*server // those that told lately what they hold
+	n         int
+	inFlight  int
+	groups    []*group
+	changed   []*server // to be looked at before the next pick
+	due       dueHeap   // ... and those that change by themselves
+	refreshes int       // since the sums were last made anew
+	fresh     []*server // those that told lately what they hold
 }
 
 // mark has a server looked at before the next pick: something about it has changed.
@@ -86,8 +86,8 @@
 		b.refresh(s)
 	}
 	rot.changed = rot.changed[:0]
-	if rot.refreshs > 1000+len(b.servers) { // rounding errors stay below any that counts
-		rot.refreshs = 0
+	if rot.refreshes > 1000+len(b.servers) { // rounding errors stay below any that counts
+		rot.refreshes = 0
 		for _, g := range rot.groups {
 			g.sum = trend{}
 		}
@@ -111,7 +111,7 @@
 // refresh takes a server out of the sums and puts it back as it is now, where it is in the rotation.
 func (b *Balancer) refresh(s *server) {
 	rot := &b.rot
-	rot.refreshs++
+	rot.refreshes++
 	was := s.in
 	if s.in {
 		s.in = false
--- a/cmd/milldeck/bench.go
+++ b/cmd/milldeck/bench.go
@@ -1,9 +1,9 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
-	"os"
 
 	"github.com/spf13/cobra"
 
@@ -11,58 +11,29 @@
 )
 
 func newBench() *cobra.Command {
-	var path string
-	var full bool
-	c := &cobra.Command{
-		Use:   "bench",
-		Short: "Measures the list service with processes of this program",
-		Long: "bench starts replicas on loopback addresses and measures how soon changes reach thousands of watchers, how many\n" +
+	return benchmark{
+		short: "Measures the list service with processes of this program",
+		long: "bench starts replicas on loopback addresses and measures how soon changes reach thousands of watchers, how many\n" +
 			"writes one and three replicas take, and how long a killed leader is missed. It ends within a minute; --full\n" +
-			"takes several and adds the restart with a long log.\n\n" + exitHelp,
-		Args: exactly(0),
-		RunE: func(c *cobra.Command, _ []string) error {
+			"takes several and adds the restart with a long log.",
+		full: "the long form: 30 kills, longer loads, restarts with 100,000 log entries",
+		run: func(ctx context.Context, full bool, self, dir string, say func(string)) (outcome, error) {
 			o := bench.Quick()
 			if full {
 				o = bench.Full()
 			}
-			o.Progress = func(line string) { fmt.Fprintln(c.ErrOrStderr(), line) }
-			var r *bench.Result
-			err := inFolder("milldeck-bench-", func(self, dir string) (err error) {
-				o.Program, o.Dir = self, dir
-				r, err = bench.Run(c.Context(), o)
-				return err
-			})
-			if err != nil {
-				return err
-			}
-			if path != "" {
-				if err := writeJSON(c.OutOrStdout(), path, r); err != nil || path == "-" {
-					return err
-				}
-			}
-			return benchTable(c.OutOrStdout(), r)
+			o.Program, o.Dir, o.Progress = self, dir, say
+			r, err := bench.Run(ctx, o)
+			return registryOutcome{r}, err
 		},
-	}
-	c.Flags().StringVar(&path, "json", "", "write the result to this file as JSON (- for standard output)")
-	c.Flags().BoolVar(&full, "full", false, "the long form: 30 kills, longer loads, restarts with 100,000 log entries")
-	return c
+	}.command()
 }
 
-// inFolder runs a benchmark of processes of this program, with a folder of its own that goes afterwards.
-func inFolder(prefix string, run func(self, dir string) error) error {
-	self, err := os.Executable()
-	if err != nil {
-		return err
-	}
-	dir, err := os.MkdirTemp("", prefix)
-	if err != nil {
-		return err
-	}
-	defer os.RemoveAll(dir)
-	return run(self, dir)
-}
+type registryOutcome struct{ *bench.Result }
+
+func (r registryOutcome) verdict() error { return nil }
 
-func benchTable(w io.Writer, r *bench.Result) error {
+func (r registryOutcome) table(w io.Writer) error {
 	_, err := fmt.Fprintf(w, `%d instances, %d watchers, %d changes (%.0f s in all)
 acknowledged write to the last watcher  p50 %.1f ms, p99 %.1f ms, at most %.1f ms; %d missed
 bytes a change and watcher              %.0f, of the whole list %d: ratio %.5f
--- a/internal/registry/duty.go
+++ b/internal/registry/duty.go
@@ -285,12 +285,7 @@
 	quiet := time.NewTicker(emptyLine)
 	defer quiet.Stop()
 	for told, first := uint64(0), true; ; first = false {
-		var d table.Duty
-		var woken <-chan struct{}
-		r.hub.mu.RLock()
-		d, _ = r.hub.state.duties.Get(name)
-		woken = r.hub.woken
-		r.hub.mu.RUnlock()
+		d, woken := r.hub.Duty(name)
 		if d.Rev > told || first {
 			told = d.Rev
 			d.Name = name
--- a/internal/registry/hub.go
+++ b/internal/registry/hub.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"milldeck/internal/duty/table"
 )
 
 const (
@@ -27,8 +29,8 @@
 	mu     sync.RWMutex
 	state  *State
 	lines  []line
-	woken  chan struct{}
-	waking bool
+	news   bell // of the list
+	duties bell // of duties: thousands who follow the list are not woken for them
 
 	wholeMu sync.Mutex
 	whole   line // the whole list as last encoded: thousands who come at once get the same bytes
@@ -41,8 +43,16 @@
 	data []byte
 }
 
+// bell wakes those who wait for its channel. The hub's lock guards it.
+type bell struct {
+	woken  chan struct{}
+	waking bool
+}
+
 // NewHub makes a hub with the empty state.
-func NewHub() *Hub { return &Hub{state: NewState(), woken: make(chan struct{})} }
+func NewHub() *Hub {
+	return &Hub{state: NewState(), news: bell{woken: make(chan struct{})}, duties: bell{woken: make(chan struct{})}}
+}
 
 // Apply takes a record in and hands its changes to the watchers.
 func (h *Hub) Apply(index uint64, r *Record) (Result, error) {
@@ -51,11 +61,11 @@
 	before, epoch, duties := h.state.Rev(), h.state.Epoch(), h.state.duties.Rev()
 	res := h.state.Apply(index, r)
 	if h.state.duties.Rev() != duties {
-		h.wake()
+		h.wake(&h.duties)
 	}
 	if h.state.Epoch() != epoch {
 		h.lines = nil
-		h.wake()
+		h.wake(&h.news)
 		return res, nil
 	}
 	if h.state.Rev() == before {
@@ -73,7 +83,7 @@
 	if extra := len(h.lines) - keptLines; extra > 0 {
 		h.lines = append(h.lines[:0], h.lines[extra:]...)
 	}
-	h.wake()
+	h.wake(&h.news)
 	return res, nil
 }
 
@@ -82,24 +92,33 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.state, h.lines = s, nil
-	h.wake()
+	h.wake(&h.news)
+	h.wake(&h.duties)
 }
 
-// wake wakes the watchers soon; the caller holds the lock.
-func (h *Hub) wake() {
-	if h.waking {
+// wake wakes watchers soon; the caller holds the lock.
+func (h *Hub) wake(b *bell) {
+	if b.waking {
 		return
 	}
-	h.waking = true
+	b.waking = true
 	time.AfterFunc(wakeEvery, func() {
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		h.waking = false
-		close(h.woken)
-		h.woken = make(chan struct{})
+		b.waking = false
+		close(b.woken)
+		b.woken = make(chan struct{})
 	})
 }
 
+// Duty gives a duty as it is, and what to wait on for a change of any.
+func (h *Hub) Duty(name string) (d table.Duty, woken <-chan struct{}) {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	d, _ = h.state.duties.Get(name)
+	return d, h.duties.woken
+}
+
 // cursor is how far a watcher has come.
 type cursor struct{ rev, epoch uint64 }
 
@@ -110,7 +129,7 @@
 	defer h.mu.RUnlock()
 	now = cursor{h.state.Rev(), h.state.Epoch()}
 	if at == now {
-		return nil, now, h.woken, nil
+		return nil, now, h.news.woken, nil
 	}
 	if at.epoch == now.epoch && at.rev != 0 {
 		for k := len(h.lines) - 1; k >= 0 && len(h.lines)-k <= foldAfter; k-- {
@@ -118,19 +137,19 @@
 				for _, l := range h.lines[k:] {
 					out = append(out, l.data)
 				}
-				return out, now, h.woken, nil
+				return out, now, h.news.woken, nil
 			}
 		}
 	}
 	if !h.state.Keeps(at.rev, at.epoch) {
 		data, err := h.encodeWhole()
-		return [][]byte{data}, now, h.woken, err
+		return [][]byte{data}, now, h.news.woken, err
 	}
 	data, err := json.Marshal(h.state.Since(at.rev, at.epoch))
 	if err != nil {
-		return nil, at, h.woken, err
+		return nil, at, h.news.woken, err
 	}
-	return [][]byte{append(data, '\n')}, now, h.woken, nil
+	return [][]byte{append(data, '\n')}, now, h.news.woken, nil
 }
 
 // encodeWhole gives the whole list's bytes, encoded once for each revision. The caller holds the lock for reading.
