--- a/internal/supervisor/client.go
+++ b/internal/supervisor/client.go
@@ -16,7 +16,8 @@
 	"github.com/cenkalti/backoff/v5"
 )
 
-// The HTTP form: POST UnitsPath with a Call, answered with an Answer; GET UnitsPath, answered with a List.
+// The HTTP form: POST UnitsPath with a Call, answered with an Answer, under status 200 or, where it holds a refusal,
+// 409; GET UnitsPath, answered with a List.
 const (
 	UnitsPath = "/supervisor/units"
 	// MaxCall bounds a call's body in bytes: a few whole configurations, or many without.
@@ -85,6 +86,9 @@
 	if len(body) > MaxCall {
 		return nil, fmt.Errorf("supervisor: a call of %d bytes, at most %d can be", len(body), MaxCall)
 	}
+	if err := ctx.Err(); err != nil {
+		return nil, fmt.Errorf("supervisor: nothing was asked: %w", err)
+	}
 	reached := false // an attempt may have come to the platform
 	out, err := retry(ctx, func() ([]Outcome, error) {
 		data, err := c.once(ctx, http.MethodPost, body, &reached)
@@ -178,6 +182,9 @@
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
 	switch {
+	case err == nil && resp.StatusCode == http.StatusConflict:
+		*reached = true
+		return data, nil
 	case resp.StatusCode >= 400 && resp.StatusCode < 500 && resp.StatusCode != http.StatusRequestTimeout:
 		// Read whole before anything is done, and not taken: no repeat would fare better. Earlier attempts may have.
 		return nil, backoff.Permanent(fmt.Errorf("%d: %s", resp.StatusCode, said(data)))
--- a/internal/supervisor/fake/fake.go
+++ b/internal/supervisor/fake/fake.go
@@ -19,7 +19,7 @@
 type Life struct {
 	ReadyMS int64  // from its start to its first good ready check; below 0: never
 	EndsMS  int64  // from its start to its end by itself; 0: never
-	Exit    string // how it ends by itself, as "exit 1"
+	Exit    string // how it ends by itself, as "exit status 1"
 	StopMS  int64  // from SIGTERM to its end; below 0: only SIGKILL ends it
 	// Reloaded, where set, is called with each configuration that SIGHUP has it read.
 	Reloaded func(config, file string)
@@ -224,7 +224,7 @@
 				pr.life.Reloaded(file.Config, file.File)
 			}
 		case pr.life.StopMS >= 0:
-			p.after(pr.life.StopMS, e.Proc, func() { p.end(e.Proc, "exit 0") })
+			p.after(pr.life.StopMS, e.Proc, func() { p.end(e.Proc, "exit status 0") })
 		}
 	case core.Rewrite:
 		p.files[e.Unit] = e
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -134,7 +134,7 @@
 	Incarnation uint64 `json:"incarnation"`
 	SinceMS     int64  `json:"since_ms"`       // of the state, in ms by the platform's clock
 	Restarts    int    `json:"restarts"`       // of this incarnation, by the platform itself
-	Exit        string `json:"exit,omitempty"` // how its last process ended: "exit 0", "signal killed", or what failed
+	Exit        string `json:"exit,omitempty"` // how its last process ended: "exit status 0", "signal: killed", or what failed
 }
 
 // List is what the platform knows of.
