--- /dev/null
+++ b/internal/supervisor/fake/fake_test.go
@@ -0,0 +1,131 @@
+package fake
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"testing"
+
+	"milldeck/internal/supervisor"
+	"milldeck/internal/supervisor/core"
+)
+
+func versions() map[core.Version]Version {
+	return map[core.Version]Version{
+		{Kind: supervisor.Sidecar, Name: "good"}: {Behave: func(supervisor.Unit) Life { return Life{ReadyMS: 30, StopMS: 500} }},
+		{Kind: supervisor.Sidecar, Name: "deaf"}: {Rules: core.Rules{GraceMS: 2000}, Behave: func(supervisor.Unit) Life { return Life{ReadyMS: 30, StopMS: -1} }},
+		{Kind: supervisor.Sidecar, Name: "bad"}: {
+			Rules: core.Rules{Restarts: 3}, Behave: func(supervisor.Unit) Life { return Life{ReadyMS: -1, EndsMS: 100, Exit: "exit status 1"} },
+		},
+	}
+}
+
+func start(memory uint64, unit, version string) supervisor.Request {
+	return supervisor.Request{
+		ID: "start-" + unit, Op: supervisor.Start, Memory: memory, Unit: unit, Kind: supervisor.Sidecar, Version: version, Listen: "127.0.0.1:1",
+	}
+}
+
+func list(t *testing.T, p *Platform) *supervisor.List {
+	t.Helper()
+	l, err := p.List(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func TestProcessesGoAsTheirVersionsDo(t *testing.T) {
+	p := New(Options{Versions: versions()}, 1000)
+	memory := list(t, p).Memory
+	if _, err := p.Do(t.Context(), start(memory, "a", "good"), start(memory, "b", "deaf"), start(memory, "c", "bad")); err != nil {
+		t.Fatal(err)
+	}
+	states := func() string {
+		s := ""
+		for _, u := range list(t, p).Units {
+			s += fmt.Sprintf("%s %s %d/%d;", u.Name, u.State, u.Restarts, p.Alive(u.Name))
+		}
+		return s
+	}
+	stop := func(n uint64, unit string) supervisor.Request {
+		return supervisor.Request{ID: "stop-" + unit, Op: supervisor.Stop, Memory: memory, Unit: unit, Incarnation: n}
+	}
+	for _, step := range []struct {
+		at   int64
+		want string
+	}{
+		{1029, "a starting 0/1;b starting 0/1;c starting 0/1;"},
+		{1030, "a running 0/1;b running 0/1;c starting 0/1;"},
+		{1100, "a running 0/1;b running 0/1;c exited 0/0;"},
+		{1300, "a running 0/1;b running 0/1;c starting 1/1;"},
+		{2000, "a running 0/1;b running 0/1;c exited 2/0;"},
+		{10_000, "a running 0/1;b running 0/1;c exited 3/0;"},
+	} {
+		p.Advance(step.at)
+		if got := states(); got != step.want {
+			t.Errorf("at %d: %s, want %s", step.at, got, step.want)
+		}
+	}
+	if _, err := p.Do(t.Context(), stop(1, "a"), stop(2, "b")); err != nil {
+		t.Fatal(err)
+	}
+	p.Advance(10_500)
+	if got := states(); got != "a exited 0/0;b stopping 0/1;c exited 3/0;" {
+		t.Error(got)
+	}
+	p.Advance(12_000)
+	if got := states(); got != "a exited 0/0;b exited 0/0;c exited 3/0;" {
+		t.Error(got)
+	}
+}
+
+func TestFaultsOfTheFake(t *testing.T) {
+	p := New(Options{Versions: versions(), TimeoutMS: 2000}, 1)
+	memory := list(t, p).Memory
+	for i, f := range []core.Fault{
+		{Kind: core.Fail}, {Kind: core.Hang}, {Kind: core.Late, DelayMS: 3000}, {Kind: core.Lose},
+	} {
+		if err := p.SetFault(f); err != nil {
+			t.Fatal(err)
+		}
+		q := start(memory, fmt.Sprint("u", i), "good")
+		if _, err := p.Do(t.Context(), q); !errors.Is(err, supervisor.ErrUnknown) {
+			t.Errorf("%s: %v", f.Kind, err)
+		}
+		p.ClearFaults()
+		out, err := p.Do(t.Context(), q)
+		if err != nil || out[0].Refused != "" || p.Alive(q.Unit) != 1 {
+			t.Errorf("%s: %+v, %v, %d alive", f.Kind, out, err, p.Alive(q.Unit))
+		}
+	}
+}
+
+// Thousands of units, alike each time.
+func TestManyUnitsAlikeEachTime(t *testing.T) {
+	const units = 3000
+	run := func() *supervisor.List {
+		p := New(Options{Versions: versions()}, 1)
+		memory := list(t, p).Memory
+		for i := 0; i < units; i += supervisor.MostRequests {
+			var reqs []supervisor.Request
+			for n := i; n < min(units, i+supervisor.MostRequests); n++ {
+				reqs = append(reqs, start(memory, fmt.Sprint("u", n), []string{"good", "deaf", "bad"}[n%3]))
+			}
+			if _, err := p.Do(t.Context(), reqs...); err != nil {
+				t.Fatal(err)
+			}
+			p.Advance(int64(i) * 10)
+		}
+		p.Crash("u0", "signal: killed")
+		p.Advance(100_000)
+		return list(t, p)
+	}
+	a, b := run(), run()
+	if len(a.Units) != units || !reflect.DeepEqual(a, b) {
+		t.Errorf("%d units, alike %v", len(a.Units), reflect.DeepEqual(a, b))
+	}
+	if u := a.Find("u0"); u.State != supervisor.Exited || u.Exit != "signal: killed" {
+		t.Errorf("%+v", u)
+	}
+}
