--- a/cmd/milldeck/supervisor.go
+++ b/cmd/milldeck/supervisor.go
@@ -1,8 +1,8 @@
 package main
 
 import (
+	"errors"
 	"fmt"
-	"log/slog"
 	"net"
 	"os"
 
@@ -28,6 +28,9 @@
 		Long: "stand-in starts, stops and lists processes as a platform does, and fails when it is told to. docs/supervisor.md\n" +
 			"tells its HTTP form and its faults.\n\n" + exitHelp,
 		RunE: func(c *cobra.Command, _ []string) error {
+			if versions == "" {
+				return usageError{errors.New("supervisor stand-in needs --versions FILE")}
+			}
 			v, err := standin.LoadVersions(versions)
 			if err != nil {
 				return err
@@ -44,13 +47,11 @@
 			if err != nil {
 				return usageError{fmt.Errorf("--listen: %w", err)}
 			}
-			slog.Info("serves", "listen", ln.Addr().String(), "versions", len(v.Versions))
 			return standin.Serve(c.Context(), ln, v, dir)
 		},
 	}
 	c.Flags().StringVar(&listen, "listen", "127.0.0.1:0", "address on loopback")
 	c.Flags().StringVar(&versions, "versions", "", "TOML file of the versions that it can run")
 	c.Flags().StringVar(&dir, "dir", "", "where logs and configurations stand (default: a directory of its own, removed at the end)")
-	c.MarkFlagRequired("versions")
 	return c
 }
--- a/internal/supervisor/core/core_test.go
+++ b/internal/supervisor/core/core_test.go
@@ -271,7 +271,7 @@
 // bring has a unit stand at a version, "" for stopped, as a careful caller does: it looks at the list, asks, and
 // asks some times with the same id; where it still does not know, it looks again. A request's id is its
 // configuration's name too, so that its processes can be counted.
-func (w *world) bring(draw func(int) int, id, unit, version string) (all []request, err error) {
+func (w *world) bring(draw draw, id, unit, version string) (all []request, err error) {
 	for try := range 30 {
 		l := w.list(w.now)
 		for ; !l.Complete; l = w.list(w.now) {
@@ -294,7 +294,7 @@
 			}
 		}
 		all = append(all, r)
-		for range 1 + draw(3) {
+		for range 1 + draw("tries", 3) {
 			out := w.ask(r)
 			if out != nil && out.Refused == supervisor.Stale && w.started[r.ID] > 0 {
 				return nil, fmt.Errorf("%s was done, and its repeat is refused: %s", r.ID, out.Text)
@@ -307,17 +307,20 @@
 	return nil, fmt.Errorf("%s does not come to %q: %+v", unit, version, w.list(w.now))
 }
 
+// draw gives a choice among n, from 0.
+type draw func(what string, n int) int
+
 // play has units come to drawn versions, once without faults and once with them and with repeats of earlier
 // requests, some long after. Both have to end alike, and no request has to have started two processes.
-func play(draw func(int) int, b bug) error {
+func play(draw draw, b bug) error {
 	clean, rough := newWorld(none), newWorld(b)
-	never := func(int) int { return 0 }
+	never := func(string, int) int { return 0 }
 	var past []request
-	for i := range 1 + draw(12) {
-		unit, version := []string{"a", "b", "c"}[draw(3)], []string{"", "1", "2"}[draw(3)]
+	for i := range 1 + draw("steps", 12) {
+		unit, version := []string{"a", "b", "c"}[draw("unit", 3)], []string{"", "1", "2"}[draw("version", 3)]
 		f := []Fault{
 			{}, {Kind: Fail}, {Kind: Hang, ForMS: 50}, {Kind: Late, DelayMS: 10}, {Kind: Lose}, {Kind: Forget, ForMS: 200},
-		}[draw(6)]
+		}[draw("fault", 6)]
 		if f.Kind != "" {
 			if err := rough.SetFault(rough.now, f); err != nil {
 				return err
@@ -333,9 +336,9 @@
 		}
 		rough.now += 20
 		rough.settle()
-		for range draw(4) {
+		for range draw("repeats", 4) {
 			if len(past) > 0 {
-				rough.ask(past[draw(len(past))])
+				rough.ask(past[draw("repeat", len(past))])
 			}
 		}
 	}
@@ -372,12 +375,56 @@
 
 func TestRepeatsAndFaultsEndAsCallsOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		if err := play(func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "n") }, none); err != nil {
+		if err := play(func(what string, n int) int { return rapid.IntRange(0, n-1).Draw(t, what) }, none); err != nil {
 			t.Fatal(err)
 		}
 	})
 }
 
+// All plays of two steps for one unit, once with up to two tries of each call and once with up to one late repeat
+// after each step.
+func TestTwoStepsInAllWays(t *testing.T) {
+	for _, c := range []struct{ tries, repeats int }{{2, 1}, {1, 2}} {
+		var picks, ways []int // of this play: the choice taken, and among how many
+		plays := 0
+		for more := true; more; plays++ {
+			at := 0
+			err := play(func(what string, n int) int {
+				switch what {
+				case "steps":
+					return 1
+				case "unit":
+					return 0
+				case "tries":
+					n = c.tries
+				case "repeats":
+					n = c.repeats
+				}
+				if at == len(picks) {
+					picks, ways = append(picks, 0), append(ways, 0)
+				}
+				ways[at] = n
+				at++
+				return picks[at-1]
+			}, none)
+			if err != nil {
+				t.Fatalf("%v: %v", picks, err)
+			}
+			// The next play differs in the last choice that has another way left.
+			picks, ways = picks[:at], ways[:at]
+			for more = false; len(picks) > 0 && !more; {
+				last := len(picks) - 1
+				if picks[last]++; picks[last] < ways[last] {
+					more = true
+				} else {
+					picks, ways = picks[:last], ways[:last]
+				}
+			}
+		}
+		t.Logf("%+v: %d plays", c, plays)
+	}
+}
+
 // The model finds what is planted, and nothing where nothing is.
 func TestModelFindsPlantedBugs(t *testing.T) {
 	for b, name := range []string{none: "none", forgetsFailed: "id forgotten on failure", anyIncarnation: "any incarnation", anyMemory: "any memory"} {
@@ -385,7 +432,7 @@
 		seed := uint64(0)
 		for ; seed < 300 && found == nil; seed++ {
 			r := rand.New(rand.NewPCG(seed, 0))
-			found = play(r.IntN, bug(b))
+			found = play(func(_ string, n int) int { return r.IntN(n) }, bug(b))
 		}
 		t.Logf("%s: %v at seed %d", name, found, seed)
 		if (found != nil) != (bug(b) != none) {
--- a/internal/supervisor/fake/fake.go
+++ b/internal/supervisor/fake/fake.go
@@ -21,14 +21,14 @@
 	EndsMS  int64  // from its start to its end by itself; 0: never
 	Exit    string // how it ends by itself, as "exit status 1"
 	StopMS  int64  // from SIGTERM to its end; below 0: only SIGKILL ends it
-	// Reloaded, where set, is called with each configuration that SIGHUP has it read.
+	// Reloaded, where set, is called with each configuration that SIGHUP has it read. It must not call the platform.
 	Reloaded func(config, file string)
 }
 
 // Version is what the platform knows of a version and how its processes go.
 type Version struct {
 	core.Rules
-	Behave func(u supervisor.Unit) Life // nil: ready and ended at once
+	Behave func(u supervisor.Unit) Life // nil: ready and ended at once; must not call the platform
 }
 
 // Options say what there is.
--- a/internal/supervisor/standin/standin.go
+++ b/internal/supervisor/standin/standin.go
@@ -49,6 +49,7 @@
 		Handler: mux, ReadHeaderTimeout: headWait, IdleTimeout: idleWait, MaxHeaderBytes: 16 << 10,
 		ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
 	}
+	slog.Info("serves", "listen", ln.Addr().String(), "versions", len(v.Versions))
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(ln) }()
 	select {
--- a/internal/supervisor/standin/standin_test.go
+++ b/internal/supervisor/standin/standin_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -22,8 +23,8 @@
 	"milldeck/internal/supervisor/core"
 )
 
-// The test binary stands in for a model server where this is set: "" serves, "deaf" leaves SIGTERM alone as well,
-// "crash" ends at once.
+// The test binary stands in for a model server where this is set: "good" serves, "deaf" leaves SIGTERM alone as well, "loud"
+// logs 4 MB before, "crash" ends at once.
 const asServer = "STANDIN_TEST_AS_SERVER"
 
 func TestMain(m *testing.M) {
@@ -39,6 +40,11 @@
 		fmt.Fprintln(os.Stderr, "cannot go on")
 		os.Exit(3)
 	}
+	if how == "loud" {
+		for range 64 {
+			fmt.Fprintln(os.Stderr, strings.Repeat("x", 64<<10))
+		}
+	}
 	if how == "deaf" {
 		signal.Ignore(syscall.SIGTERM)
 	}
@@ -46,7 +52,7 @@
 	fmt.Fprintln(os.Stderr, http.ListenAndServe(os.Args[1], nil))
 }
 
-const bound = 10 * time.Second // of what takes milliseconds
+const bound = 10 * time.Second // of what takes milliseconds on a machine that is not busy
 
 // rig is a stand-in as a process, and a client of it.
 type rig struct {
@@ -71,7 +77,7 @@
 		text += fmt.Sprintf("[[version]]\nname = %q\nkind = \"sidecar\"\nargv = [%q]\nready = \"/health/ready\"\ngrace_ms = 5000\n"+
 			"env = { NODE_CONFIG = \"{config}\", NODE_LISTEN = \"{listen}\", NODE_NAME = \"{name}\" }\n", v, proctest.Program(t, "silverreel"))
 	}
-	for _, how := range []string{"good", "deaf", "crash"} {
+	for _, how := range []string{"good", "deaf", "loud", "crash"} {
 		text += fmt.Sprintf("[[version]]\nname = %q\nkind = \"server\"\nargv = [%q, \"{listen}\"]\nready = \"/health/ready\"\nrestarts = 2\n"+
 			"env = { %s = %q }\n", how, os.Args[0], asServer, how)
 	}
@@ -163,13 +169,20 @@
 // until waits for a unit's state.
 func (r *rig) until(n int, state supervisor.State) supervisor.Unit {
 	r.t.Helper()
-	for began := time.Now(); ; time.Sleep(2 * time.Millisecond) {
-		u := r.list().Find(fmt.Sprint("u", n))
-		if u != nil && u.State == state {
-			return *u
-		}
+	var u *supervisor.Unit
+	r.soon(fmt.Sprintf("u%d %s", n, state), func() bool {
+		u = r.list().Find(fmt.Sprint("u", n))
+		return u != nil && u.State == state
+	})
+	return *u
+}
+
+// soon waits for something that takes milliseconds.
+func (r *rig) soon(what string, is func() bool) {
+	r.t.Helper()
+	for began := time.Now(); !is(); time.Sleep(2 * time.Millisecond) {
 		if time.Since(began) > bound {
-			r.t.Fatalf("u%d is not %s: %+v\n%s", n, state, u, r.proc.Log())
+			r.t.Fatalf("not within %v: %s\n%s", bound, what, r.proc.Log())
 		}
 	}
 }
@@ -220,11 +233,7 @@
 	reload := r.request(supervisor.Reload, 1, "")
 	reload.Config, reload.File = "c2", strings.Replace(config, "127.0.0.1:1", "127.0.0.1:2", 1)
 	r.do(reload)
-	for began := time.Now(); !strings.Contains(r.whole("u1.log"), "reloaded discovery=127.0.0.1:2"); time.Sleep(2 * time.Millisecond) {
-		if time.Since(began) > bound {
-			t.Fatalf("not reloaded:\n%s", r.whole("u1.log"))
-		}
-	}
+	r.soon("reloaded", func() bool { return strings.Contains(r.whole("u1.log"), "reloaded discovery=127.0.0.1:2") })
 	if u := r.until(1, supervisor.Running); u.Config != "c2" {
 		t.Errorf("%+v, want configuration c2", u)
 	}
@@ -263,9 +272,11 @@
 
 func TestServersThatGoWrong(t *testing.T) {
 	r := newRig(t)
-	r.do(r.request(supervisor.Start, 1, "deaf"), r.request(supervisor.Start, 2, "crash"), r.request(supervisor.Start, 3, "good"))
-	r.until(1, supervisor.Running)
-	r.until(3, supervisor.Running)
+	r.do(r.request(supervisor.Start, 1, "deaf"), r.request(supervisor.Start, 2, "crash"), r.request(supervisor.Start, 3, "good"),
+		r.request(supervisor.Start, 4, "loud"))
+	for _, n := range []int{1, 3, 4} {
+		r.until(n, supervisor.Running)
+	}
 	stop := r.request(supervisor.Stop, 1, "")
 	stop.GraceMS = 100
 	r.do(stop, r.request(supervisor.Stop, 3, ""))
@@ -275,14 +286,13 @@
 	if u := r.until(3, supervisor.Exited); u.Exit != "signal: terminated" {
 		t.Errorf("%+v, want it terminated", u)
 	}
-	for began := time.Now(); r.until(2, supervisor.Exited).Restarts < 2; time.Sleep(5 * time.Millisecond) {
-		if time.Since(began) > bound {
-			t.Fatalf("%+v, want two restarts", r.list())
-		}
-	}
+	r.soon("two restarts", func() bool { return r.until(2, supervisor.Exited).Restarts == 2 })
 	if u := r.until(2, supervisor.Exited); u.Exit != "exit status 3 cannot go on" || r.started(2) != 3 {
 		t.Errorf("%+v after %d starts", u, r.started(2))
 	}
+	r.soon("its log emptied", func() bool { return len(r.whole("u4.log")) <= maxOutput })
+	r.proc.Kill()
+	r.soon("the end of what a killed platform ran", func() bool { return !r.serves(4) })
 }
 
 func TestFaultsBetweenClientAndPlatform(t *testing.T) {
@@ -366,11 +376,7 @@
 		r.fault(core.Fault{Kind: core.Twice, On: core.OnDo})
 		r.do(q)
 		// One gets the address and the other ends, the platform's own or the one that it does not know.
-		for began := time.Now(); !r.serves(40); time.Sleep(2 * time.Millisecond) {
-			if time.Since(began) > bound {
-				t.Fatal("neither serves")
-			}
-		}
+		r.soon("one serves", func() bool { return r.serves(40) })
 		if r.started(40) != 2 {
 			t.Errorf("started %d times", r.started(40))
 		}
@@ -411,7 +417,7 @@
 	}
 }
 
-// Within the program: nothing is left running, and the output of a unit is bounded.
+// Within the program: nothing is left running.
 func TestServeLeavesNothing(t *testing.T) {
 	leaks := goleak.IgnoreCurrent()
 	v, err := LoadVersions(versionsFile(t))
@@ -480,3 +486,61 @@
 		}
 	}
 }
+
+// One sidecar at a time, from the call to ready, and from the call to its end.
+func BenchmarkSidecar(b *testing.B) {
+	r := newRig(b)
+	var up, down []time.Duration
+	for b.Loop() {
+		q := r.request(supervisor.Start, 1, "1")
+		began := time.Now()
+		r.do(q)
+		r.until(1, supervisor.Running)
+		up = append(up, time.Since(began))
+		q = r.request(supervisor.Stop, 1, "")
+		began = time.Now()
+		r.do(q)
+		r.until(1, supervisor.Exited)
+		down = append(down, time.Since(began))
+	}
+	for _, of := range []struct {
+		name string
+		all  []time.Duration
+	}{{"start", up}, {"stop", down}} {
+		slices.Sort(of.all)
+		b.ReportMetric(float64(of.all[len(of.all)/2].Microseconds())/1e3, of.name+"-p50-ms")
+		b.ReportMetric(float64(of.all[len(of.all)*99/100].Microseconds())/1e3, of.name+"-p99-ms")
+	}
+}
+
+// Calls that change nothing: a repeat of a start, and the list of 200 units that have exited.
+func BenchmarkCalls(b *testing.B) {
+	r := newRig(b)
+	var reqs []supervisor.Request
+	memory := r.list().Memory
+	for n := range 200 {
+		unit := fmt.Sprint("u", n)
+		reqs = append(reqs, supervisor.Request{
+			ID: unit, Op: supervisor.Start, Memory: memory, Unit: unit, Kind: supervisor.Server, Version: "crash", Listen: r.listen(n),
+		})
+	}
+	r.do(reqs...)
+	for n := range reqs {
+		r.soon("gave up", func() bool { return r.until(n, supervisor.Exited).Restarts == 2 })
+	}
+	for name, call := range map[string]func() error{
+		"repeat": func() error { _, err := r.client.Do(r.ctx, reqs[0]); return err },
+		"list":   func() error { _, err := r.client.List(r.ctx); return err },
+	} {
+		b.Run(name, func(b *testing.B) {
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					if err := call(); err != nil {
+						b.Error(err)
+					}
+				}
+			})
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "calls/s")
+		})
+	}
+}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -113,7 +113,8 @@
 // State is how far a unit has come.
 type State string
 
-// States of units. A unit that has exited may be started again by the platform, as its version says.
+// States of units. A unit that has exited may be started again by the platform, as its version says; one that is being
+// restarted goes from stopping to starting, so that one that has exited waits for no start that was asked for.
 const (
 	Starting State = "starting"
 	Running  State = "running" // it has been ready once
