--- a/internal/supervisor/client.go
+++ b/internal/supervisor/client.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"strings"
 	"time"
@@ -112,7 +113,7 @@
 
 // List asks until it has an answer.
 func (c *Client) List(ctx context.Context) (*List, error) {
-	var reached bool // a list changes nothing
+	var reached bool // of no interest: a list changes nothing
 	l, err := retry(ctx, func() (*List, error) {
 		data, err := c.once(ctx, http.MethodGet, nil, &reached)
 		if err != nil {
@@ -160,10 +161,12 @@
 	return zero, last
 }
 
-// once makes one attempt. It notes where the platform may have read the request.
+// once makes one attempt. It notes where the platform may have read a request that it may have carried out.
 func (c *Client) once(ctx context.Context, method string, body []byte, reached *bool) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.wait)
 	defer cancel()
+	sent := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent = true }})
 	req, err := http.NewRequestWithContext(ctx, method, c.base+UnitsPath, bytes.NewReader(body))
 	if err != nil {
 		return nil, backoff.Permanent(err)
@@ -172,33 +175,26 @@
 		req.Header.Set("Content-Type", "application/json")
 	}
 	resp, err := c.http.Do(req)
-	var dial *net.OpError
 	if err != nil {
-		if !errors.As(err, &dial) || dial.Op != "dial" {
-			*reached = true
-		}
+		*reached = *reached || sent
 		return nil, err
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	code := resp.StatusCode
+	if code >= 400 && code < 500 && code != http.StatusConflict && code != http.StatusRequestTimeout {
+		// Not taken, and no repeat would fare better. What attempts before it did is another matter.
+		return nil, backoff.Permanent(fmt.Errorf("%d: %s", code, said(data)))
+	}
+	*reached = true
 	switch {
-	case err == nil && resp.StatusCode == http.StatusConflict:
-		*reached = true
-		return data, nil
-	case resp.StatusCode >= 400 && resp.StatusCode < 500 && resp.StatusCode != http.StatusRequestTimeout:
-		// Read whole before anything is done, and not taken: no repeat would fare better. Earlier attempts may have.
-		return nil, backoff.Permanent(fmt.Errorf("%d: %s", resp.StatusCode, said(data)))
 	case err != nil:
-		*reached = true
 		return nil, err
 	case len(data) > maxAnswer:
-		*reached = true
 		return nil, fmt.Errorf("an answer of more than %d bytes", maxAnswer)
-	case resp.StatusCode != http.StatusOK:
-		*reached = true
-		return nil, fmt.Errorf("%d: %s", resp.StatusCode, said(data))
+	case code != http.StatusOK && code != http.StatusConflict:
+		return nil, fmt.Errorf("%d: %s", code, said(data))
 	}
-	*reached = true
 	return data, nil
 }
 
