Supervisor: ids in parts, and a bound on processes that were forgotten

Ids of releases name release, step and unit, which 64 bytes do not hold. Memory lost again and again let processes add up beyond the units listed.

--- a/internal/supervisor/core/units.go
+++ b/internal/supervisor/core/units.go
@@ -32,6 +32,9 @@
 		if u == nil && len(c.units) >= c.opts.MostUnits && !c.drop() {
 			return supervisor.Full, fmt.Sprintf("%d units are listed, none has exited", len(c.units))
 		}
+		if len(c.procs) >= 2*c.opts.MostUnits { // more than are listed, after a memory was lost
+			return supervisor.Full, fmt.Sprintf("%d processes run", len(c.procs))
+		}
 		c.launch(now, c.planned(r), r.File, fault)
 	case supervisor.Stop:
 		u.next = nil
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -14,6 +14,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"strings"
 )
 
 // Bounds of requests.
@@ -22,6 +23,7 @@
 	MaxFile      = 1 << 20 // bytes of a configuration; one with 2,000 known servers has a third of it
 	MaxGraceMS   = 600_000 // ten minutes: longer than any drain waits for what is open
 	maxName      = 64      // bytes of a name: it also names files
+	maxID        = 160     // bytes of a request's id: names of what is done, of a step and of a unit fit in
 )
 
 // Supervisor is the platform.
@@ -59,7 +61,8 @@
 
 // Request asks for one thing.
 type Request struct {
-	// ID names the request: its repeat, as long as the platform remembers, has the first outcome and changes nothing.
+	// ID names the request, in parts between slashes, as "release/step/unit". Its repeat, as long as the platform
+	// remembers, has the first outcome and changes nothing.
 	ID string `json:"id"`
 	Op Op     `json:"op"`
 	// Memory is the platform's, as listed. A platform that has forgotten since refuses.
@@ -167,11 +170,19 @@
 
 // Check tells what a request lacks or has too much.
 func (r *Request) Check() error {
+	if r.ID == "" || len(r.ID) > maxID {
+		return fmt.Errorf("id: %d bytes, 1 to %d can be", len(r.ID), maxID)
+	}
+	for part := range strings.SplitSeq(r.ID, "/") {
+		if err := checkName(part); err != nil {
+			return fmt.Errorf("id: %w", err)
+		}
+	}
 	for _, n := range []struct {
 		key, value string
 		must       bool
 	}{
-		{"id", r.ID, true}, {"unit", r.Unit, true}, {"version", r.Version, r.launches()}, {"config", r.Config, r.Op == Reload},
+		{"unit", r.Unit, true}, {"version", r.Version, r.launches()}, {"config", r.Config, r.Op == Reload},
 		{"zone", r.Zone, false},
 	} {
 		if n.value == "" && !n.must {
