Registry: the placement in the replicated state, written under guards and watched

Sidecars are to be told more than the list, with the same promises. The loop of the list's watch now serves both.

--- a/internal/placement/report.go
+++ b/internal/placement/report.go
@@ -42,7 +42,7 @@
 		}
 	}
 	for k := range r.Heat {
-		if h := &r.Heat[k]; !keyed(h.Key) || !(h.Load >= 0 && h.Load <= maxLoad) || !(h.Error >= 0 && h.Error <= h.Load) {
+		if h := &r.Heat[k]; !keyed(h.Key) || !(h.Load >= 0 && h.Load <= maxLoad) || !(h.Error >= 0 && h.Error <= maxLoad) {
 			return bad("heat", "key %.32q with load %v, error %v", h.Key, h.Load, h.Error)
 		}
 	}
@@ -58,8 +58,8 @@
 	switch {
 	case len(c.Class) > MaxName || len(c.Zone) > MaxName || len(c.Cohort) > MaxName:
 		return bad("counts", "a name of over %d bytes", MaxName)
-	case min(c.Served, c.Late, c.Failed) < 0 || max(c.Served, c.Late, c.Failed) > maxCount || c.Late > c.Served:
-		return bad("counts", "%d served, %d of them late, %d failed", c.Served, c.Late, c.Failed)
+	case min(c.Served, c.Late, c.Failed) < 0 || max(c.Served, c.Late, c.Failed) > maxCount:
+		return bad("counts", "%d served, %d late, %d failed", c.Served, c.Late, c.Failed)
 	case len(c.Latency) > len(LatencyBounds)+1:
 		return bad("counts", "%d counts of latencies, at most %d", len(c.Latency), len(LatencyBounds)+1)
 	}
--- a/internal/registry/http.go
+++ b/internal/registry/http.go
@@ -43,6 +43,8 @@
 	mux.HandleFunc("POST /registry/state", r.leaderOnly(r.serveState))
 	mux.HandleFunc("POST /registry/renew", r.leaderOnly(r.serveRenew))
 	mux.HandleFunc("POST /registry/suspects", r.leaderOnly(r.serveSuspects))
+	mux.HandleFunc("GET /registry/placement", r.servePlacement)
+	mux.HandleFunc("POST /registry/placement", r.leaderOnly(r.serveSetPlacement))
 	mux.HandleFunc("GET /duties", r.serveDuties)
 	mux.HandleFunc("GET /duties/{name}", r.serveDutyGet)
 	mux.HandleFunc("POST /duties/renew", r.leaderOnly(r.serveDutyRenew))
@@ -163,7 +165,10 @@
 }
 
 // serveWatch follows the list for one watcher, which is a cursor: see hub.
-func (r *Replica) serveWatch(w http.ResponseWriter, req *http.Request) {
+func (r *Replica) serveWatch(w http.ResponseWriter, req *http.Request) { r.watch(w, req, r.hub.Watch) }
+
+// watch admits a watcher of something after the revision and the epoch of its query.
+func (r *Replica) watch(w http.ResponseWriter, req *http.Request, follow watchFunc) {
 	after, err := number(req, "after")
 	if err != nil {
 		refuse(w, http.StatusBadRequest, err)
@@ -180,7 +185,7 @@
 	defer r.watchers.Add(-1)
 	r.mark(w)
 	// A replica that hears of no leader says nothing rather than that nothing has changed: its watchers move on.
-	err = r.hub.Watch(r.ctx, w, req, after, epoch, func() bool { return r.age() < staleAfter })
+	err = follow(r.ctx, w, req, after, epoch, func() bool { return r.age() < staleAfter })
 	if err != nil {
 		slog.Debug("watch ended", "error", err)
 	}
--- a/internal/registry/hub.go
+++ b/internal/registry/hub.go
@@ -31,6 +31,7 @@
 	lines  []line
 	news   bell // of the list
 	duties bell // of duties: thousands who follow the list are not woken for them
+	places *PlacementFeed
 
 	wholeMu sync.Mutex
 	whole   line // the whole list as last encoded: thousands who come at once get the same bytes
@@ -43,7 +44,7 @@
 	data []byte
 }
 
-// bell wakes those who wait for its channel. The hub's lock guards it.
+// bell wakes those who wait for its channel. The lock of what it is part of guards it.
 type bell struct {
 	woken  chan struct{}
 	waking bool
@@ -51,7 +52,9 @@
 
 // NewHub makes a hub with the empty state.
 func NewHub() *Hub {
-	return &Hub{state: NewState(), news: bell{woken: make(chan struct{})}, duties: bell{woken: make(chan struct{})}}
+	h := &Hub{state: NewState(), news: bell{woken: make(chan struct{})}, duties: bell{woken: make(chan struct{})}}
+	h.places = NewPlacementFeed(h.placement)
+	return h
 }
 
 // Apply takes a record in and hands its changes to the watchers.
@@ -59,7 +62,11 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	before, epoch, duties := h.state.Rev(), h.state.Epoch(), h.state.duties.Rev()
+	places := h.state.places.Rev()
 	res := h.state.Apply(index, r)
+	if h.state.places.Rev() != places {
+		h.places.Ring()
+	}
 	if h.state.duties.Rev() != duties {
 		h.wake(&h.duties)
 	}
@@ -94,17 +101,22 @@
 	h.state, h.lines = s, nil
 	h.wake(&h.news)
 	h.wake(&h.duties)
+	h.places.Ring()
 }
 
 // wake wakes watchers soon; the caller holds the lock.
-func (h *Hub) wake(b *bell) {
+func (h *Hub) wake(b *bell) { b.wake(&h.mu, func() {}) }
+
+// wake wakes those who wait soon, and calls first before, both under the bell's lock, which the caller holds.
+func (b *bell) wake(mu sync.Locker, first func()) {
 	if b.waking {
 		return
 	}
 	b.waking = true
 	time.AfterFunc(wakeEvery, func() {
-		h.mu.Lock()
-		defer h.mu.Unlock()
+		mu.Lock()
+		defer mu.Unlock()
+		first()
 		b.waking = false
 		close(b.woken)
 		b.woken = make(chan struct{})
@@ -120,14 +132,17 @@
 }
 
 // cursor is how far a watcher has come.
-type cursor struct{ rev, epoch uint64 }
+type cursor struct {
+	rev, epoch uint64
+	begun      bool // of the placement: something has been written, so that revision 0 is known, too
+}
 
 // next gives the bytes that a watcher is to be written, its new cursor, and what to wait on when there are none.
 // The slices are shared: nobody writes to them.
 func (h *Hub) next(at cursor) (out [][]byte, now cursor, woken <-chan struct{}, err error) {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
-	now = cursor{h.state.Rev(), h.state.Epoch()}
+	now = cursor{rev: h.state.Rev(), epoch: h.state.Epoch()}
 	if at == now {
 		return nil, now, h.news.woken, nil
 	}
@@ -172,18 +187,35 @@
 // or the connection ends. While nothing changes it writes an empty line every 2 s, as long as alive says that
 // silence is news.
 func (h *Hub) Watch(ctx context.Context, w http.ResponseWriter, req *http.Request, after, epoch uint64, alive func() bool) error {
+	return watch(ctx, w, req, cursor{rev: after, epoch: epoch}, alive, h)
+}
+
+// nothing is an empty change.
+func (h *Hub) nothing(at cursor) []byte {
+	return fmt.Appendf(nil, "{\"rev\":%d,\"all\":false,\"targets\":[],\"epoch\":%d}\n", at.rev, at.epoch)
+}
+
+// watchFunc is Watch of a hub or a feed.
+type watchFunc func(ctx context.Context, w http.ResponseWriter, req *http.Request, after, epoch uint64, alive func() bool) error
+
+// watched is what watchers follow.
+type watched interface {
+	next(at cursor) (out [][]byte, now cursor, woken <-chan struct{}, err error)
+	nothing(at cursor) []byte
+}
+
+func watch(ctx context.Context, w http.ResponseWriter, req *http.Request, at cursor, alive func() bool, what watched) error {
 	w.Header().Set("Content-Type", "application/json")
 	out := http.NewResponseController(w)
 	quiet := time.NewTimer(emptyLine)
 	defer quiet.Stop()
-	at := cursor{after, epoch}
 	for first := true; ; first = false {
-		lines, now, woken, err := h.next(at)
+		lines, now, woken, err := what.next(at)
 		if err != nil {
 			return err
 		}
 		if first && len(lines) == 0 { // it knows all: an empty change says so at once
-			lines = [][]byte{fmt.Appendf(nil, "{\"rev\":%d,\"all\":false,\"targets\":[],\"epoch\":%d}\n", now.rev, now.epoch)}
+			lines = [][]byte{what.nothing(now)}
 		}
 		at = now
 		if len(lines) > 0 {
--- a/internal/registry/record.go
+++ b/internal/registry/record.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"milldeck/internal/duty/table"
+	"milldeck/internal/placement"
 )
 
 // Target is an instance in the form in which PROTOCOL's discovery lists it.
@@ -108,6 +109,7 @@
 	OpSuspect    Op = "suspect"    // Refs, On: held back from expiry, or no longer
 	OpEpoch      Op = "epoch"      // Epoch: this list does not continue the one before
 	OpDuty       Op = "duty"       // Duty
+	OpPlacement  Op = "placement"  // Placement, under its owner's Guard or the leader's own
 	OpFollow     Op = "follow"     // Instances and Refs: set and removed unchecked, by an agent that follows a registry
 )
 
@@ -129,6 +131,8 @@
 	Epoch     uint64     `json:"epoch,omitempty"`
 	Duty      *table.Op  `json:"duty,omitempty"`
 	Guard     *Guard     `json:"guard,omitempty"` // the write counts only under this duty's token
+
+	Placement *placement.Op `json:"placement,omitempty"`
 }
 
 // recordVersion is the first byte of a record; a newer one is refused, an older one read.
--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -89,6 +89,7 @@
 	began    time.Time
 	fatal    chan error
 	watchers atomic.Int64
+	swept    time.Time // when ended entries of the placement were last looked for
 	ctx      context.Context
 	stop     context.CancelFunc
 	around   sync.WaitGroup
@@ -461,6 +462,7 @@
 		case <-sweep.C:
 			r.expire()
 			r.lapse()
+			r.endPlacement()
 		}
 	}
 }
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"milldeck/internal/duty/table"
+	"milldeck/internal/placement"
 )
 
 // Bounds of what the state keeps.
@@ -58,11 +59,12 @@
 	writes    map[string]Result
 	order     []string // of writes, oldest first
 	duties    *table.Table
+	places    *placement.Table
 }
 
 // NewState is the empty state.
 func NewState() *State {
-	return &State{instances: map[string]*Instance{}, writes: map[string]Result{}, duties: table.New()}
+	return &State{instances: map[string]*Instance{}, writes: map[string]Result{}, duties: table.New(), places: placement.New()}
 }
 
 // Rev is the revision of the list.
@@ -117,6 +119,8 @@
 	switch r.Op {
 	case OpDuty:
 		return s.doDuty(index, r.Duty)
+	case OpPlacement:
+		return s.doPlacement(index, r)
 	case OpRegister:
 		return s.register(index, r)
 	case OpState, OpDeregister:
@@ -153,6 +157,7 @@
 	case OpEpoch:
 		s.epoch, s.history, s.forgotten = r.Epoch, nil, index
 		s.rev = index
+		s.places.Begin(index, r.Epoch)
 		return Result{Outcome: Done, Rev: index}
 	default:
 		// Of a later version: every replica of this one skips it alike.
@@ -322,12 +327,13 @@
 	Writes    map[string]Result `json:"writes"`
 	Order     []string          `json:"order"`
 	Duties    []*table.Duty     `json:"duties,omitempty"`
+	Placement *placement.Saved  `json:"placement,omitempty"`
 }
 
 // Snapshot writes the state. History is left out: watches that come back after a restore get the whole list.
 func (s *State) Snapshot(w io.Writer) error {
 	snap := snapshot{Rev: s.rev, Applied: s.applied, Epoch: s.epoch, Instances: []*Instance{}, Writes: s.writes, Order: s.order,
-		Duties: s.duties.Save()}
+		Duties: s.duties.Save(), Placement: s.places.Save()}
 	for _, uid := range slices.Sorted(maps.Keys(s.instances)) {
 		snap.Instances = append(snap.Instances, s.instances[uid])
 	}
@@ -381,6 +387,7 @@
 		return nil, fmt.Errorf("snapshot: an empty duty")
 	}
 	s.duties = table.Load(snap.Duties)
+	s.places = placement.Load(snap.Placement, snap.Epoch)
 	if snap.Writes != nil {
 		s.writes, s.order = snap.Writes, snap.Order
 	}
