Agent: follows the placement, keeps it, tells it on; takes reports and passes them on

One follower serves the list and the placement. The placement is followed once a sidecar asks; what is left of an entry is counted by the agent's own clocks, also over a restart from the saved file.

--- a/cmd/milldeck/registry.go
+++ b/cmd/milldeck/registry.go
@@ -516,10 +516,14 @@
 	Saved    string   `toml:"saved"`
 	Fleet    int      `toml:"fleet"`
 	Share    float64  `toml:"share"`
+
+	SavedPlacement string   `toml:"saved_placement"`
+	Reports        []string `toml:"reports"`
 }
 
 func newAgent() *cobra.Command {
 	var path string
+	var reports []string
 	c := &cobra.Command{
 		Use:   "agent",
 		Short: "Runs the list agent beside a sidecar until SIGTERM",
@@ -544,7 +548,8 @@
 			if f.Fleet < 0 || f.Share < 0 || f.Share > 1 {
 				return at.Errorf("share", "fleet %d or share %v cannot be", f.Fleet, f.Share)
 			}
-			a, err := agent.Start(agent.Options{Listen: f.Listen, Replicas: f.Replicas, Saved: f.Saved, Fleet: f.Fleet, Share: f.Share})
+			a, err := agent.Start(agent.Options{Listen: f.Listen, Replicas: f.Replicas, Saved: f.Saved, Fleet: f.Fleet, Share: f.Share,
+				SavedPlacement: f.SavedPlacement, Reports: append(f.Reports, reports...)})
 			if err != nil {
 				return err
 			}
@@ -554,5 +559,6 @@
 		},
 	}
 	c.Flags().StringVar(&path, "config", "", "the agent's configuration (TOML)")
+	c.Flags().StringSliceVar(&reports, "reports", nil, "addresses that reports are passed on to, beside the configuration's")
 	return c
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -20,15 +20,6 @@
 )
 
 const (
-	firstBackoff = 100 * time.Millisecond
-	mostBackoff  = 5 * time.Second
-	// spreadEach is the time for each agent of the fleet over which all come back after their replica failed: so
-	// a replica is met by a thousand a second at most, whatever the size of the fleet.
-	spreadEach  = time.Millisecond
-	leastSpread = 50 * time.Millisecond
-	mostSpread  = 10 * time.Second
-	steady      = 10 * time.Second // a watch that lasted so long ends the backoff
-
 	// staleAfter is the age of a replica's list from which on another is tried.
 	staleAfter = 3 * time.Second
 	// silentAfter is how long ago the registry must have spoken for this agent's silence to be news.
@@ -50,6 +41,10 @@
 	Saved    string  // file for the last good list; "" keeps none
 	Fleet    int     // how many agents there are, about
 	Share    float64 // of the ready servers that a list may take away unconfirmed
+	// SavedPlacement is the file for the last placement; "" keeps none.
+	SavedPlacement string
+	// Reports are addresses that sidecars' reports are passed on to, each to all of them; loopback only.
+	Reports []string
 }
 
 // Agent follows the registry and serves one machine's sidecar.
@@ -71,6 +66,9 @@
 	spoke   atomic.Int64 // when the registry last spoke, ns since began; 0: never
 	hasList atomic.Bool
 
+	places  *places
+	reports *reports
+
 	metrics *prometheus.Registry
 	moves   prometheus.Counter
 	helds   prometheus.Counter
@@ -85,6 +83,10 @@
 	if err := registry.Loopback("listen", opts.Listen); err != nil {
 		return nil, err
 	}
+	reports, err := newReports(opts.Reports)
+	if err != nil {
+		return nil, err
+	}
 	client, err := registry.NewClient(opts.Replicas)
 	if err != nil {
 		return nil, err
@@ -96,6 +98,10 @@
 		opts.Fleet = defaultFleet
 	}
 	a := &Agent{opts: opts, client: client, hub: registry.NewHub(), began: time.Now(), core: core{share: opts.Share}}
+	a.reports = reports
+	a.places = newPlaces(opts.SavedPlacement, func() (wallMS, monoMS int64) {
+		return time.Now().UnixMilli(), time.Since(a.began).Milliseconds()
+	})
 	a.measure()
 	if opts.Saved != "" {
 		switch err := a.core.load(opts.Saved); {
@@ -118,6 +124,8 @@
 	a.ctx, a.stop = context.WithCancel(context.Background())
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /registry/instances", a.serve)
+	mux.HandleFunc("GET /registry/placement", a.servePlacement)
+	mux.HandleFunc("POST /registry/report", a.reports.serve)
 	mux.HandleFunc("GET /health/ready", a.serveReady)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(a.metrics, promhttp.HandlerOpts{}))
 	a.srv = &http.Server{
@@ -130,7 +138,11 @@
 		}
 	})
 	a.around.Go(a.follow)
+	a.around.Go(a.followPlacement)
 	a.around.Go(a.keep)
+	for _, to := range opts.Reports {
+		a.around.Go(func() { a.reports.pass(a.ctx, to) })
+	}
 	return a, nil
 }
 
@@ -143,6 +155,7 @@
 	err := a.srv.Close()
 	a.around.Wait()
 	a.client.Close()
+	a.reports.http.CloseIdleConnections()
 	return err
 }
 
@@ -177,19 +190,15 @@
 // silence is how long ago the registry last spoke.
 func (a *Agent) silence() time.Duration { return time.Since(a.began) - time.Duration(a.spoke.Load()) }
 
-// follow watches one replica after the other for as long as the agent runs, beginning with any.
+// follow follows the list for as long as the agent runs, beginning with any replica.
 func (a *Agent) follow() { a.followFrom(rand.IntN(len(a.opts.Replicas))) }
 
 func (a *Agent) followFrom(at int) {
-	backoff := firstBackoff
-	for a.ctx.Err() == nil {
-		replica := a.opts.Replicas[at%len(a.opts.Replicas)]
-		began := time.Now()
+	a.follower().run(at, func(at int, replica string, spoke func()) error {
 		a.mu.Lock()
 		rev, epoch := a.core.rev, a.core.epoch
 		a.mu.Unlock()
-		spoke := false
-		err := a.client.WatchReplica(a.ctx, replica, rev, epoch, func(l *registry.List, age time.Duration) error {
+		return a.client.WatchReplica(a.ctx, replica, rev, epoch, func(l *registry.List, age time.Duration) error {
 			if l != nil {
 				if err := a.take(l, at); err != nil {
 					return err
@@ -198,32 +207,11 @@
 					return errStale
 				}
 			}
-			spoke = true
+			spoke()
 			a.spoke.Store(int64(time.Since(a.began)))
 			return nil
 		})
-		if a.ctx.Err() != nil {
-			return
-		}
-		slog.Debug("watch ended", "replica", replica, "error", err)
-		a.moves.Inc()
-		at++
-		if time.Since(began) > steady {
-			backoff = firstBackoff
-		}
-		// All agents of a replica that failed come back at once, so they spread; one that fails again and again
-		// backs off.
-		wait := backoff/2 + rand.N(backoff)
-		if spoke {
-			wait = rand.N(min(max(time.Duration(a.opts.Fleet)*spreadEach, leastSpread), mostSpread))
-		} else {
-			backoff = min(2*backoff, mostBackoff)
-		}
-		select {
-		case <-a.ctx.Done():
-		case <-time.After(wait):
-		}
-	}
+	})
 }
 
 // take takes over what a replica told; one list that is held is confirmed by another replica first.
@@ -294,37 +282,38 @@
 	return nil
 }
 
-// keep saves the list soon after it has changed.
+// keep saves the list and the placement soon after they have changed.
 func (a *Agent) keep() {
-	if a.opts.Saved == "" {
-		return
-	}
 	tick := time.NewTicker(saveEvery)
 	defer tick.Stop()
-	for {
-		end := false
+	for end := false; !end; {
 		select {
 		case <-a.ctx.Done():
 			end = true
 		case <-tick.C:
 		}
-		a.mu.Lock()
-		dirty := a.dirty
-		a.dirty = false
-		data, err := []byte(nil), error(nil)
-		if dirty {
-			data, err = a.core.encode()
-		}
-		a.mu.Unlock()
-		if dirty && err == nil {
-			err = save(a.opts.Saved, data)
-		}
-		if err != nil {
-			slog.Error("the list is not saved", "file", a.opts.Saved, "error", err)
-		}
-		if end {
-			return
-		}
+		a.keepList()
+		a.places.keep()
+	}
+}
+
+func (a *Agent) keepList() {
+	if a.opts.Saved == "" {
+		return
+	}
+	a.mu.Lock()
+	dirty := a.dirty
+	a.dirty = false
+	data, err := []byte(nil), error(nil)
+	if dirty {
+		data, err = a.core.encode()
+	}
+	a.mu.Unlock()
+	if dirty && err == nil {
+		err = save(a.opts.Saved, data)
+	}
+	if err != nil {
+		slog.Error("the list is not saved", "file", a.opts.Saved, "error", err)
 	}
 }
 
@@ -350,16 +339,26 @@
 		}
 		return
 	}
-	after := uint64(0)
-	if v := q.Get("after"); v != "" {
-		var err error
-		if after, err = strconv.ParseUint(v, 10, 64); err != nil {
-			http.Error(w, fmt.Sprintf("after: %q is no number", v), http.StatusBadRequest)
-			return
-		}
+	after, err := number(r, "after")
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
 	}
-	err := a.hub.Watch(a.ctx, w, r, after, 0, func() bool { return a.spoke.Load() > 0 && a.silence() < silentAfter })
+	err = a.hub.Watch(a.ctx, w, r, after, 0, func() bool { return a.spoke.Load() > 0 && a.silence() < silentAfter })
 	if err != nil {
 		slog.Debug("sidecar's watch ended", "error", err)
 	}
 }
+
+// number reads a query's figure; absent it is 0.
+func number(r *http.Request, name string) (uint64, error) {
+	v := r.URL.Query().Get(name)
+	if v == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(v, 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("%s: %q is no number", name, v)
+	}
+	return n, nil
+}
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -3,6 +3,7 @@
 package agent
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/binary"
 	"encoding/json"
@@ -128,23 +129,37 @@
 	if err != nil {
 		return nil, err
 	}
-	out := binary.BigEndian.AppendUint64([]byte(savedMagic), xxhash.Sum64(body))
-	return append(out, body...), nil
+	return seal(savedMagic, body), nil
+}
+
+// seal gives the bytes of a file that names its form and has a checksum.
+func seal(magic string, body []byte) []byte {
+	out := binary.BigEndian.AppendUint64([]byte(magic), xxhash.Sum64(body))
+	return append(out, body...)
+}
+
+// unseal gives the body of what seal made, or says what is wrong with it.
+func unseal(magic string, data []byte) ([]byte, error) {
+	rest, is := bytes.CutPrefix(data, []byte(magic))
+	if !is {
+		return nil, fmt.Errorf("it does not begin with %q", strings.TrimSpace(magic))
+	}
+	if len(rest) < 8 || binary.BigEndian.Uint64(rest[:8]) != xxhash.Sum64(rest[8:]) {
+		return nil, errTorn
+	}
+	return rest[8:], nil
 }
 
 var errTorn = errors.New("checksum does not match")
 
 // decode reads a saved list, or says what is wrong with it; nothing of a torn one is used.
 func (c *core) decode(data []byte) error {
-	rest, is := strings.CutPrefix(string(data), savedMagic)
-	if !is {
-		return fmt.Errorf("it does not begin with %q", strings.TrimSpace(savedMagic))
-	}
-	if len(rest) < 8 || binary.BigEndian.Uint64([]byte(rest[:8])) != xxhash.Sum64String(rest[8:]) {
-		return errTorn
+	body, err := unseal(savedMagic, data)
+	if err != nil {
+		return err
 	}
 	var s saved
-	if err := json.Unmarshal([]byte(rest[8:]), &s); err != nil {
+	if err := json.Unmarshal(body, &s); err != nil {
 		return err
 	}
 	c.rev, c.epoch, c.served, c.targets = s.Rev, s.Epoch, s.Served, map[string]registry.Target{}
@@ -156,22 +171,27 @@
 
 // load reads the saved list of a file; a missing one is no error.
 func (c *core) load(path string) error {
+	data, err := read(path)
+	if data == nil || err != nil {
+		return err
+	}
+	return c.decode(data)
+}
+
+// read reads what was saved, nil where nothing was.
+func read(path string) ([]byte, error) {
 	info, err := os.Stat(path)
 	if errors.Is(err, os.ErrNotExist) {
-		return nil
+		return nil, nil
 	}
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if info.Size() > maxSaved {
-		return fmt.Errorf("%d bytes, at most %d are read", info.Size(), maxSaved)
+		return nil, fmt.Errorf("%d bytes, at most %d are read", info.Size(), maxSaved)
 	}
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return err
-	}
-	return c.decode(data)
+	return os.ReadFile(path)
 }
 
-// save writes the list so that a crash leaves the old or the new one whole.
+// save writes a file so that a crash leaves the old or the new one whole.
 func save(path string, data []byte) error { return renameio.WriteFile(path, data, 0o600) }
