--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -180,6 +180,15 @@
 		defer a.mu.Unlock()
 		return float64(a.core.served)
 	})
+	gauge("milldeck_agent_placement_revision", "Revision of the placement; 0: none is known.", func() float64 {
+		rev, _ := a.places.at()
+		return float64(rev)
+	})
+	gauge("milldeck_agent_placement_in_force", "Entries of the placement that have not ended.", func() float64 {
+		a.places.mu.Lock()
+		defer a.places.mu.Unlock()
+		return float64(len(a.places.reader.At(a.places.clock()).Entries))
+	})
 	gauge("milldeck_agent_servers", "Servers in the list.", func() float64 {
 		a.mu.Lock()
 		defer a.mu.Unlock()
