--- a/internal/registry/hub.go
+++ b/internal/registry/hub.go
@@ -134,7 +134,7 @@
 // cursor is how far a watcher has come.
 type cursor struct {
 	rev, epoch uint64
-	begun      bool // of the placement: something has been written, so that revision 0 is known, too
+	begun      bool // something has been written to it
 }
 
 // next gives the bytes that a watcher is to be written, its new cursor, and what to wait on when there are none.
@@ -142,10 +142,13 @@
 func (h *Hub) next(at cursor) (out [][]byte, now cursor, woken <-chan struct{}, err error) {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
-	now = cursor{rev: h.state.Rev(), epoch: h.state.Epoch()}
+	now = cursor{h.state.Rev(), h.state.Epoch(), true}
 	if at == now {
 		return nil, now, h.news.woken, nil
 	}
+	if at.rev == now.rev && at.epoch == now.epoch { // it knows all: an empty change says so at once
+		return [][]byte{fmt.Appendf(nil, "{\"rev\":%d,\"all\":false,\"targets\":[],\"epoch\":%d}\n", now.rev, now.epoch)}, now, h.news.woken, nil
+	}
 	if at.epoch == now.epoch && at.rev != 0 {
 		for k := len(h.lines) - 1; k >= 0 && len(h.lines)-k <= foldAfter; k-- {
 			if h.lines[k].prev == at.rev {
@@ -190,18 +193,12 @@
 	return watch(ctx, w, req, cursor{rev: after, epoch: epoch}, alive, h)
 }
 
-// nothing is an empty change.
-func (h *Hub) nothing(at cursor) []byte {
-	return fmt.Appendf(nil, "{\"rev\":%d,\"all\":false,\"targets\":[],\"epoch\":%d}\n", at.rev, at.epoch)
-}
-
 // watchFunc is Watch of a hub or a feed.
 type watchFunc func(ctx context.Context, w http.ResponseWriter, req *http.Request, after, epoch uint64, alive func() bool) error
 
-// watched is what watchers follow.
+// watched is what watchers follow. One that has not begun is always written something.
 type watched interface {
 	next(at cursor) (out [][]byte, now cursor, woken <-chan struct{}, err error)
-	nothing(at cursor) []byte
 }
 
 func watch(ctx context.Context, w http.ResponseWriter, req *http.Request, at cursor, alive func() bool, what watched) error {
@@ -209,14 +206,11 @@
 	out := http.NewResponseController(w)
 	quiet := time.NewTimer(emptyLine)
 	defer quiet.Stop()
-	for first := true; ; first = false {
+	for {
 		lines, now, woken, err := what.next(at)
 		if err != nil {
 			return err
 		}
-		if first && len(lines) == 0 { // it knows all: an empty change says so at once
-			lines = [][]byte{what.nothing(now)}
-		}
 		at = now
 		if len(lines) > 0 {
 			if err := send(w, out, lines); err != nil {
--- a/internal/registry/placement.go
+++ b/internal/registry/placement.go
@@ -111,11 +111,6 @@
 	return [][]byte{l.data}, l.now, woken, nil
 }
 
-// nothing is an empty change. It is not needed, as who asks is always written something first.
-func (f *PlacementFeed) nothing(at cursor) []byte {
-	return fmt.Appendf(nil, "{\"rev\":%d,\"all\":false,\"epoch\":%d,\"entries\":[]}\n", at.rev, at.epoch)
-}
-
 // Watch writes the changes after a revision of an epoch to a watcher, as Hub.Watch does those of the list.
 func (f *PlacementFeed) Watch(ctx context.Context, w http.ResponseWriter, req *http.Request, after, epoch uint64, alive func() bool) error {
 	return watch(ctx, w, req, cursor{rev: after, epoch: epoch}, alive, f)
