Placement: an entry counts as what its line takes, so that a line stays under 1.8 MB

A sidecar reads lines of at most 2 MB; the bound of 4 MiB of texts could take more. Entries now count at least what their JSON takes, checked under rapid, and more than 1,000 changed entries are told as the whole, as the ids of those that are gone had no bound of their own.

--- a/internal/placement/check.go
+++ b/internal/placement/check.go
@@ -7,12 +7,12 @@
 	"unicode/utf8"
 )
 
-// Bounds of what a placement may hold. A line with all of it stays under what a watch reads at once (32 MiB), also
-// where each byte is written as six (\u003c).
+// Bounds of what a placement may hold. A line with all of it, or with the most that is told as a change, is under
+// 1.8 MB, as a sidecar has little room.
 const (
 	MaxEntries = 10_000
-	MaxBytes   = 4 << 20 // of all texts and numbers of all entries, as Entry.size counts them
-	MaxServers = 4096    // of an entry: more than a zone of the largest fleet
+	MaxBytes   = 1536 << 10 // of all entries, as Entry.size counts them
+	MaxServers = 4096       // of an entry: more than a zone of the largest fleet
 	MaxCopies  = 64
 	MaxSet     = 1000 // entries of one operation
 	MaxID      = 256
@@ -49,15 +49,27 @@
 	return is && duty != "" && (rest == "" || rest[0] == '/')
 }
 
-// size is what an entry counts against MaxBytes: the same on every replica, whatever its JSON would be.
+// size is what an entry counts against MaxBytes: at least what its JSON takes, and the same on every replica, of
+// whatever version its encoder is.
 func (e *Entry) size() int {
-	const numbers, one = 64, 16 // of an entry, of a server or copy
-	n := numbers + len(e.ID) + len(e.Kind) + len(e.Tenant) + len(e.Key) + len(e.Name)
+	const frame, server, each = 192, 3, 48 // names, numbers and quotes of an entry, a server, a copy
+	n := frame + escaped(e.ID) + escaped(string(e.Kind)) + escaped(e.Tenant) + escaped(e.Key) + escaped(e.Name)
 	for _, s := range e.Servers {
-		n += one + len(s)
+		n += server + escaped(s)
 	}
 	for _, c := range e.Copies {
-		n += one + len(c.UID)
+		n += each + escaped(c.UID)
+	}
+	return n
+}
+
+// escaped is at least the length of a text in JSON, where a byte may take six (\u003c).
+func escaped(s string) int {
+	n := len(s)
+	for k := range len(s) {
+		if c := s[k]; c < ' ' || c >= 0x7f || c == '"' || c == '\\' || c == '<' || c == '>' || c == '&' {
+			n += 5
+		}
 	}
 	return n
 }
--- a/internal/placement/table_test.go
+++ b/internal/placement/table_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
 	"reflect"
@@ -116,6 +117,26 @@
 	}
 }
 
+// What an entry counts is never less than what its line takes, so that the bounds of a line hold.
+func TestSizeCoversTheLine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.StringOfN(rapid.RuneFrom([]rune{'a', '<', '"', '\\', 'ä', 0x7f, 0x2028, 1, 0xfffd}), 1, 20, -1)
+		e := Entry{ID: text.Draw(t, "id"), Kind: Kind(text.Draw(t, "kind")), Tenant: text.Draw(t, "tenant"), Key: text.Draw(t, "key"),
+			Name: text.Draw(t, "name"), Servers: rapid.SliceOfN(text, 1, 3).Draw(t, "servers"), Least: rapid.Float64().Draw(t, "least"),
+			UntilMS: rapid.Int64().Draw(t, "until"), LeftMS: MaxAheadMS, Rev: rapid.Uint64().Draw(t, "rev")}
+		for _, uid := range e.Servers {
+			e.Copies = append(e.Copies, Copy{uid, rapid.Float64().Draw(t, "share")})
+		}
+		data, err := json.Marshal(e)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(data)+len(",") > e.size() {
+			t.Fatalf("%d bytes count as %d: %s", len(data)+1, e.size(), data)
+		}
+	})
+}
+
 func TestRulesAtApply(t *testing.T) {
 	const now = 1_000_000_000
 	good := func() Entry { return window("window/a/t", now+1000, "s1", "s2") }
@@ -169,12 +190,22 @@
 	}
 	t.Run("full", func(t *testing.T) {
 		table := New()
-		for k := range MaxEntries {
-			table.set(1, window(fmt.Sprint("window/a/", k), now+1, "s"))
+		full := 0
+		for ; full < MaxEntries && table.bytes+300 <= MaxBytes; full++ {
+			table.set(2, window(fmt.Sprint("window/a/", full), now+1, "s"))
 		}
-		if what, _ := table.Apply(2, "window/a", &Op{NowMS: now, Set: []Entry{good()}}); what != TooMany {
+		large := good()
+		large.Servers = many[:100]
+		if what, _ := table.Apply(2, "window/a", &Op{NowMS: now, Set: []Entry{large}}); what != TooMany || table.Len() != full {
 			t.Errorf("one too many: %s", what)
 		}
+		data, err := json.Marshal(table.Whole(now))
+		if err != nil || len(data) > MaxBytes {
+			t.Errorf("the whole takes %d bytes: %v", len(data), err)
+		}
+		if l := table.Since(1, 0, now); full <= mostTold || !l.All {
+			t.Errorf("%d changes are not told as the whole", full)
+		}
 		if what, why := table.Apply(3, "window/a", &Op{NowMS: now, Set: []Entry{good()}, Drop: []string{"window/a/7"}}); what != Done {
 			t.Errorf("one for one: %s %s", what, why)
 		}
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -6,8 +6,12 @@
 	"sort"
 )
 
-// keptChanges are kept at least, and up to twice as many, for watches that come back: beyond it they get the whole.
-const keptChanges = 4096
+const (
+	// keptChanges are kept at least, and up to twice as many, for watches that come back: beyond it they get the whole.
+	keptChanges = 4096
+	// mostTold entries are told as changes: the ids of more that are gone could take more than the whole.
+	mostTold = 1000
+)
 
 // view is a placement at a revision and what changed before. The slices of its entries are shared with those who
 // have read them and never changed in place.
@@ -74,6 +78,9 @@
 		}
 		slices.Sort(ids)
 		ids = slices.Compact(ids)
+		if len(ids) > mostTold {
+			return v.since(0, epoch, left)
+		}
 	}
 	for _, id := range ids {
 		e, is := v.entries[id]
