--- a/internal/collect/collect.go
+++ b/internal/collect/collect.go
@@ -42,7 +42,8 @@
 	counts Counts
 }
 
-// Seen is a report and when it came, by the collector's clock. Its slices and maps are shared: nobody changes them.
+// Seen is a report and when it came, by the collector's clock, which tells a new one from one that was read before:
+// counts are of the report's span and are to be added once. Its slices and maps are shared: nobody changes them.
 type Seen struct {
 	placement.Report
 	At time.Duration
