balance.go by concern: seven files of decisions, plumbing apart from them

One file of 769 lines held all but the choices on keys, outliers and hints, and state.go still took some.

Pure moves: shedding (admit.go), picks (pick.go), weights and cold servers (size.go), probes and outcomes (watch.go), the list (list.go); what ends a request stays in balance.go. Events and actions (events.go), New and its checks (settings.go) decide nothing. The small choices of state.go (what close cancels, how class figures age, who is weakest) stand in policy now.

All tests of the module pass unchanged.

--- a/balance/api.go
+++ b/balance/api.go
@@ -1,7 +1,7 @@
 package balance
 
 // This file is the interface of the module: settings and events in, actions out.
-// It takes no decisions; those are all in balance.go. Times are milliseconds.
+// It takes no decisions; those are all in the files named as policy in deploy/balancer.toml. Times are milliseconds.
 
 // ServerID names a server; it carries no meaning beyond identity.
 type ServerID uint64
--- a/balance/eject.go
+++ b/balance/eject.go
@@ -18,27 +18,6 @@
 	latePart   = 0.15 // of the servers rest for lateness at the most: if more are late, load is too high
 )
 
-// zoneState is what this sidecar knows of the servers of a zone together. It meets each of them seldom: one
-// by one it would find the servers of a lost zone dead for many seconds.
-type zoneState struct {
-	failed     []*server // out of reach since the last answer from the zone
-	failedAt   float64   // the first of them
-	answeredAt float64   // the last answer
-	restUntil  float64
-	rests      int
-	dark       bool    // held to be lost
-	tried      *server // since its last rest
-}
-
-func (b *Balancer) zone(zone int) *zoneState {
-	z := b.zoneStates[zone]
-	if z == nil {
-		z = &zoneState{}
-		b.zoneStates[zone] = z
-	}
-	return z
-}
-
 // answered ends what is held against a zone, and the rests that came of it.
 func (b *Balancer) answered(z *zoneState) {
 	if z.dark {
--- a/balance/hints.go
+++ b/balance/hints.go
@@ -85,13 +85,6 @@
 	b.unhint(s)
 }
 
-func (b *Balancer) unhint(s *server) {
-	if s.hintUntil > 0 {
-		s.hintUntil, s.hintBy, s.heard = 0, -1, 0
-		b.mark(s)
-	}
-}
-
 // tellNow posts what was found to a few others, as far as the budget goes. What is not told is dropped.
 func (b *Balancer) tellNow() {
 	t := &b.tell
@@ -116,18 +109,8 @@
 	t.toTell = t.toTell[:0]
 }
 
-func (b *Balancer) post(peer int, data []byte) bool {
-	if b.tell.bytes < float64(len(data)) {
-		return false
-	}
-	b.tell.bytes -= float64(len(data))
-	b.emit(Action{Kind: Post, Peer: peer, Data: data})
-	return true
-}
-
-// onMessage takes in what another sidecar tells. Old, repeated and garbled messages are dropped, and
-// those of a
-// sender whom own answers contradict.
+// onMessage takes in what another sidecar tells. Old, repeated and garbled messages are dropped, and those
+// of a sender whom own answers contradict.
 func (b *Balancer) onMessage(ev *Message) {
 	t := &b.tell
 	if !b.mayTell() || ev.From < 0 || ev.From >= b.cfg.Peers || ev.From == b.cfg.Number {
--- a/balance/index.go
+++ b/balance/index.go
@@ -168,6 +168,35 @@
 	}
 }
 
+// weightNow is the weight of a server of the rotation, its zone's favour included, from what settle keeps.
+func (b *Balancer) weightNow(s *server) float64 {
+	if s.part.steady() {
+		return max(s.part.level*s.group.factor, 1e-6)
+	}
+	s.part.moveTo(b.now)
+	return max((s.part.level+s.part.dent)*s.group.factor, 1e-6)
+}
+
+// survey does for the whole rotation what enter does for a pick that lists its servers.
+func (b *Balancer) survey(total float64) {
+	b.carried, b.shares = 1, 0
+	for _, s := range b.reporters() {
+		if s.in {
+			b.carried += b.holds(s)
+			b.shares += b.weightNow(s)
+		}
+	}
+	if b.told = b.shares > 0; !b.told {
+		b.carried, b.shares = 1+float64(b.rot.inFlight), total
+	}
+}
+
+// credit gives a server its turns since it was last credited, or came back, at the weight of now.
+func (b *Balancer) credit(s *server) {
+	s.running = math.Min(s.running+s.weight*(b.turn-s.turn), b.pool)
+	s.turn = b.turn
+}
+
 // reporters lists the servers of the rotation whose report is fresh. Few are: a report is soon old.
 func (b *Balancer) reporters() []*server {
 	kept := b.rot.fresh[:0]
--- a/balance/state.go
+++ b/balance/state.go
@@ -1,13 +1,8 @@
 package balance
 
-// This file holds what a balancer remembers, New, Handle and small helpers. Some of them still take small choices
-// that belong in balance.go: what close cancels, how classStats and time age, who is weakest in weigh.
+// This file holds what a balancer remembers, and small helpers.
 
-import (
-	"errors"
-	"fmt"
-	"math"
-)
+import "math"
 
 // listTimer is the token of the discovery timer; requests use their ID (below 2^52).
 const listTimer = 1 << 60
@@ -173,23 +168,6 @@
 	weakTenant   *tally
 }
 
-func (b *Balancer) weigh() weighed {
-	all := weighed{worth: 1e-9, weakClass: &b.classes[0], weakTenant: &b.tenants[0]}
-	for c := range b.classes {
-		all.asked += b.classes[c].asked
-		all.worth += b.classes[c].asked * b.classes[c].worth
-		if b.classes[c].weaker(&all.weakClass.tally) {
-			all.weakClass = &b.classes[c]
-		}
-	}
-	for t := range b.tenants {
-		if b.tenants[t].weaker(all.weakTenant) {
-			all.weakTenant = &b.tenants[t]
-		}
-	}
-	return all
-}
-
 // tenant returns the tally of a tenant; the last is for requests without one.
 func (b *Balancer) tenant(i int) *tally {
 	if i < 0 || i >= len(b.cfg.Tenants) {
@@ -208,139 +186,9 @@
 	return (m.n*math.Exp((m.at-now)/span)/math.Max(-math.Expm1((start-now)/span), 0.05) + assumed) / span
 }
 
-func (c *classStats) add(took float64) {
-	c.n = math.Min(c.n+1, 300)
-	c.mean += (took - c.mean) / c.n
-	c.dev += (math.Abs(took-c.mean) - c.dev) / c.n
-}
-
-// New returns a balancer with the given settings; Start begins its life. It keeps the slices of cfg, which must
-// not change afterwards. Settings that cannot be are an error that names the field.
-func New(cfg Config) (*Balancer, error) {
-	if err := cfg.check(); err != nil {
-		return nil, err
-	}
-	b := &Balancer{
-		cfg: cfg, rng: cfg.Seed, byID: map[ServerID]*server{}, reqs: map[RequestID]*request{},
-		classes: make([]classStats, len(cfg.Classes)), tenants: make([]tally, len(cfg.Tenants)+1),
-		kinds: map[int]float64{}, zones: map[int]float64{}, keys: keyMeter{counts: map[uint64]float64{}},
-		zoneStates: map[int]*zoneState{}, longestAim: 1, quickest: startAim, busy: 1, fullAt: math.Inf(-1), repeats: repeatMost, orders: newKeyOrders(),
-		tell: telling{senders: map[int]*sender{}, byTag: map[uint32]*server{}},
-	}
-	b.choose = b.pick
-	for i := range cfg.Classes {
-		b.longestAim = math.Max(b.longestAim, cfg.Classes[i].Aim)
-		b.classes[i] = classStats{tally: tally{asked: 1, served: 1}, worth: cfg.Classes[i].Worth, quick: startAim}
-	}
-	for i := range b.tenants {
-		b.tenants[i] = tally{asked: 1, served: 1}
-		if i < len(cfg.Tenants) {
-			b.tenants[i].share = cfg.Tenants[i].Share
-		}
-	}
-	if cfg.Goal == (Goal{}) {
-		b.cfg.Goal.Whole = 1
-	}
-	return b, nil
-}
-
-// check tells which field of the settings cannot be, if any.
-func (c *Config) check() error {
-	type figure struct {
-		name string
-		v    float64
-	}
-	list := []figure{
-		{"Quantum", c.Quantum}, {"MaxAttempts", float64(c.MaxAttempts)}, {"MaxRetryAfter", c.MaxRetryAfter},
-		{"ConnectTimeout", c.ConnectTimeout}, {"DrainGrace", c.DrainGrace}, {"ColdFrom", c.ColdFrom},
-		{"ColdTime", c.ColdTime}, {"FallMultiple", c.FallMultiple}, {"FallTime", c.FallTime},
-		{"AskWithin", c.AskWithin}, {"AnswerSlack", c.AnswerSlack}, {"OverShareWorth", c.OverShareWorth},
-		{"Goal.Whole", c.Goal.Whole}, {"Goal.WorstWindow", c.Goal.WorstWindow},
-		{"Goal.WorstClass", c.Goal.WorstClass}, {"Goal.WorstTenant", c.Goal.WorstTenant},
-		{"Prices.CrossZone", c.Prices.CrossZone}, {"Prices.Waste", c.Prices.Waste},
-		{"Prices.Handshake", c.Prices.Handshake}, {"Prices.Probe", c.Prices.Probe},
-		{"Prices.Peer", c.Prices.Peer}, {"Prices.LateFail", c.Prices.LateFail},
-	}
-	if len(c.Classes) == 0 {
-		return errors.New("no Classes")
-	}
-	for i := range c.Classes {
-		k, name := &c.Classes[i], fmt.Sprintf("Classes[%d].", i)
-		if k.Effect > Unsafe || k.Group > GroupCell || !(k.Deadline > 0) {
-			return fmt.Errorf("%sEffect, Group or Deadline cannot be: %+v", name, *k)
-		}
-		list = append(list, figure{name + "Aim", k.Aim}, figure{name + "Deadline", k.Deadline},
-			figure{name + "Worth", k.Worth}, figure{name + "LateWorth", k.LateWorth},
-			figure{name + "AimStretch", k.AimStretch}, figure{name + "Window", math.Min(k.Window, math.MaxFloat64)})
-	}
-	for i := range c.Tenants {
-		name := fmt.Sprintf("Tenants[%d].", i)
-		list = append(list, figure{name + "Allowance", c.Tenants[i].Allowance}, figure{name + "Share", c.Tenants[i].Share})
-	}
-	for _, f := range list {
-		if !(f.v >= 0) || math.IsInf(f.v, 0) {
-			return fmt.Errorf("%s is %v", f.name, f.v)
-		}
-	}
-	return nil
-}
-
-// Handle takes one event and returns what to do. The actions are valid until the next call.
-// An error means that the event cannot be; the balancer is unchanged. Requests and outcomes may come by pointer.
-func (b *Balancer) Handle(now float64, ev Event) ([]Action, error) {
-	b.now, b.out = now, b.out[:0]
-	var err error
-	switch ev := ev.(type) {
-	case *Request:
-		err = b.onRequest(ev)
-	case *Outcome:
-		err = b.onOutcome(ev)
-	case Request:
-		err = b.onRequest(&ev)
-	case Outcome:
-		err = b.onOutcome(&ev)
-	case Timer:
-		b.onTimer(ev)
-	case ServerList:
-		b.onList(ev)
-	case ProbeResult:
-		b.onProbe(ev)
-	case HangUp:
-		if r := b.reqs[ev.Request]; r != nil {
-			b.close(r)
-		}
-	case Started:
-		b.onStarted(ev)
-	case Message:
-		b.onMessage(&ev)
-	}
-	b.reuse()
-	return b.out, err
-}
-
 // mostIdle requests are kept for use again: as many as one sidecar hardly has open.
 const mostIdle = 256
 
-// reuse takes back the requests that the event closed. Those that waited for probes may still be listed there.
-func (b *Balancer) reuse() {
-	for _, r := range b.spent {
-		if len(b.idle) < mostIdle && r.probed == nil {
-			*r = request{tries: r.tries[:0]}
-			b.idle = append(b.idle, r)
-		}
-	}
-	b.spent = b.spent[:0]
-}
-
-func (b *Balancer) newRequest() *request {
-	if n := len(b.idle); n > 0 {
-		r := b.idle[n-1]
-		b.idle = b.idle[:n-1]
-		return r
-	}
-	return &request{}
-}
-
 func (b *Balancer) emit(a Action) { b.out = append(b.out, a) }
 
 // random is splitmix64 from the seed.
@@ -361,147 +209,34 @@
 
 func bound(v, least, most float64) float64 { return math.Max(least, math.Min(most, v)) }
 
-func (b *Balancer) onTimer(ev Timer) {
-	if ev.Token == listTimer {
-		b.emit(Action{Kind: Watch})
-	} else if ev.Token == tellTimer {
-		b.tellNow()
-	} else if r := b.reqs[RequestID(ev.Token)]; r != nil {
-		r.wakeAt = math.Inf(1) // not compared with the clock: a timer may come a rounding error early
-		b.step(r)
-	}
+// zoneState is what this sidecar knows of the servers of a zone together. It meets each of them seldom: one
+// by one it would find the servers of a lost zone dead for many seconds.
+type zoneState struct {
+	failed     []*server // out of reach since the last answer from the zone
+	failedAt   float64   // the first of them
+	answeredAt float64   // the last answer
+	restUntil  float64
+	rests      int
+	dark       bool    // held to be lost
+	tried      *server // since its last rest
 }
 
-func (b *Balancer) onStarted(ev Started) {
-	if r := b.reqs[ev.Request]; r != nil && !r.done && !r.stream {
-		r.stream = true // the client owns it now: no deadline, no repeat
-		b.cancelOthers(r, ev.Attempt)
+func (b *Balancer) zone(zone int) *zoneState {
+	z := b.zoneStates[zone]
+	if z == nil {
+		z = &zoneState{}
+		b.zoneStates[zone] = z
 	}
+	return z
 }
 
-func (b *Balancer) cancelOthers(r *request, keep int) {
-	for i := range r.tries {
-		if r.tries[i].live && i != keep && b.cfg.Cancel {
-			b.emit(Action{Kind: Cancel, Request: r.ID, Attempt: i})
-		}
+func (b *Balancer) holds(s *server) float64 { // by a fresh report and what was sent since, else the own ones
+	if b.fresh(s) {
+		return s.reported + s.sentSince
 	}
+	return float64(s.inFlight)
 }
 
-// note takes in a load report and returns the wait that it tells of: what waits, times the service time.
-func (b *Balancer) note(s *server, report []float32) float64 {
-	queue, took := 0.0, 0.0
-	for i, f := range b.cfg.Fields {
-		if i >= len(report) {
-			continue
-		}
-		switch v := float64(report[i]); f {
-		case FieldInFlight:
-			s.reported, s.reportedAt, s.sentSince = v, b.now, 0
-			if b.cfg.WarmKeys && !s.reports {
-				s.reports = true
-				b.rot.fresh = append(b.rot.fresh, s)
-			}
-			b.busy += (math.Min(s.reported, 1) - b.busy) / recent
-		case FieldUtil:
-			v = math.Min(v, 1.5)
-			if b.util += (v - b.util) / recent; s.util == 0 {
-				s.util = b.util
-			}
-			s.util += (v - s.util) / fewAnswers
-		case FieldQueue:
-			queue = v
-		case FieldLatency:
-			took = v
-		}
-	}
-	return queue * took
-}
-
-// markUnlisted: what a full list does not name is gone.
-func (b *Balancer) markUnlisted(entries []Server) {
-	listed := make(map[ServerID]bool, len(entries))
-	for i := range entries {
-		listed[entries[i].ID] = true
-	}
-	for _, s := range b.servers {
-		if !listed[s.ID] {
-			s.State = Gone
-			b.mark(s)
-		}
-	}
-}
-
-// dropGone forgets servers that are gone and keeps the others in order.
-func (b *Balancer) dropGone() {
-	kept := b.servers[:0]
-	for _, s := range b.servers {
-		if s.State != Gone {
-			kept = append(kept, s)
-		} else {
-			delete(b.byID, s.ID)
-			delete(b.tell.byTag, tag(s.ID))
-			b.orders.listChanged(s)
-		}
-	}
-	clear(b.servers[len(kept):])
-	b.servers = kept
-}
-
-// time follows how long the answers of a class take, as a part of their aim, and the least it has been of late.
-// Of these the quickest is the mean over the answers of late: where one class is shed, what is left may take a
-// larger part of its aim, and that is no overload.
-func (b *Balancer) time(c *classStats, took float64) {
-	c.slowN = math.Min(c.slowN+1, recent)
-	c.slow += (math.Min(took, 2) - c.slow) / c.slowN
-	if c.slowN == recent {
-		c.quick += math.Max(startAim-c.quick, 0) * -math.Expm1((c.quickAt-b.now)/forget)
-		c.quick = math.Min(c.quick, c.slow)
-	}
-	c.quickAt = b.now
-	b.quickest += (c.quick - b.quickest) / recent
-}
-
-// probe asks a server, unless an answer is still to come.
-func (b *Balancer) probe(s *server) {
-	if !s.probing {
-		s.probing = true
-		b.emit(Action{Kind: Probe, Server: s.ID})
-	}
-}
-
-// stepHeld takes up the requests that wait for probes and keeps those that still do.
-func (b *Balancer) stepHeld() {
-	held := b.holding
-	b.holding = held[:0]
-	for _, r := range held {
-		b.step(r)
-		if !r.done && r.holdUntil > b.now {
-			b.holding = append(b.holding, r)
-		}
-	}
-}
-
-// close marks a request as answered and gives up what is still out for it.
-func (b *Balancer) close(r *request) {
-	r.done = true
-	b.cancelOthers(r, -1)
-	if r.live == 0 && b.reqs[r.ID] == r {
-		delete(b.reqs, r.ID)
-		b.spent = append(b.spent, r)
-	}
-}
-
-// send makes an attempt and counts it; one that is cut ends with the request's aim.
-func (b *Balancer) send(r *request, s *server, cut bool) {
-	s.tokens--
-	b.carry(s, 1)
-	s.sentSince++
-	b.count(1/r.class.Aim, b.pace(fewAnswers))
-	r.live++
-	r.tries = append(r.tries, attempt{s: s, sent: b.now, live: true, cut: cut})
-	act := Action{Kind: Send, Request: r.ID, Server: s.ID}
-	if cut {
-		act.At = r.arrived + r.class.Aim
-	}
-	b.emit(act)
+func (b *Balancer) fresh(s *server) bool {
+	return s.reportedAt > 0 && b.now-s.reportedAt <= probeAims*b.longestAim
 }
--- a/balance/telling.go
+++ b/balance/telling.go
@@ -103,3 +103,19 @@
 	byTag   map[uint32]*server
 	read    []hint // of the last message, to be used again
 }
+
+func (b *Balancer) post(peer int, data []byte) bool {
+	if b.tell.bytes < float64(len(data)) {
+		return false
+	}
+	b.tell.bytes -= float64(len(data))
+	b.emit(Action{Kind: Post, Peer: peer, Data: data})
+	return true
+}
+
+func (b *Balancer) unhint(s *server) {
+	if s.hintUntil > 0 {
+		s.hintUntil, s.hintBy, s.heard = 0, -1, 0
+		b.mark(s)
+	}
+}
