Module: a placement has tenants keep off servers and spreads keys over copies

Windows and the spreader have to reach each sidecar's picks, and end there by themselves.

One event, Placement, whole each time. A tenant's requests keep off servers by the round robin over the rest, while each entry's least share of the ready servers is left and some of the rest can take a request; else serving goes first and Suspended names the entry. Repeats stay in their group. A spread key's copies have their shares of its turns, none while they drain, rest, are kept off, over or cold and sent enough.

Turns go by steps of the golden section instead of round robin: a sidecar meets a key seldom, and the first picks of a weighted round robin do not go by weight. Without a placement a pick pays a nil check. The plain pick and the property test play random placements as well.

--- a/balance/affinity.go
+++ b/balance/affinity.go
@@ -59,7 +59,7 @@
 	if b.allRest {
 		return len(b.entered)
 	}
-	return b.rot.n
+	return b.rot.n - b.hidden.in
 }
 
 // narrow: of the servers of a key only the first few in this sidecar's own order are used.
--- a/balance/api.go
+++ b/balance/api.go
@@ -221,6 +221,38 @@
 	Data []byte
 }
 
+// AllTenants stands for every request of the sidecar, whatever its tenant.
+const AllTenants = -1
+
+// Placement is what the fleet has agreed on beyond the list, whole each time: what it no longer holds is over.
+// Nothing of it is kept. It says nothing of servers that are not listed.
+type Placement struct {
+	KeepOffs []KeepOff // followed in this order, as far as enough servers are left
+	Spreads  []Spread  // none twice; without WarmKeys they mean nothing
+}
+
+// KeepOff has the requests of a tenant keep off servers, as long as others can take them.
+type KeepOff struct {
+	ID      int // by which Suspended names it
+	Tenant  int // or AllTenants
+	Servers []ServerID
+	Least   float64 // of the tenant's ready servers, by rating, have to be left: 0 to 1
+	Until   float64 // it ends by itself then
+}
+
+// Spread has copies carry a part of a key's requests, beside the key's own servers.
+type Spread struct {
+	Key    uint64
+	Copies []Copy
+	Until  float64 // it ends by itself then
+}
+
+// Copy is a server that carries a part of a spread key.
+type Copy struct {
+	Server ServerID
+	Share  float64 // of the key's load, 0 to 1; 0: a trickle
+}
+
 func (ServerList) event()  {}
 func (Request) event()     {}
 func (Outcome) event()     {}
@@ -229,6 +261,7 @@
 func (Timer) event()       {}
 func (ProbeResult) event() {}
 func (Message) event()     {}
+func (Placement) event()   {}
 
 // ActionKind says what to do.
 type ActionKind uint8
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -26,7 +26,7 @@
 		return
 	}
 	if r.live == 0 && !b.held(r) {
-		if s := b.choose(r, len(r.tries) > 0); s != nil {
+		if s := b.place(r, len(r.tries) > 0); s != nil {
 			if len(r.tries) > 0 {
 				b.repeats = math.Max(b.repeats-1, 0)
 			} else {
--- a/balance/events.go
+++ b/balance/events.go
@@ -42,6 +42,8 @@
 		}
 	case Started:
 		b.onStarted(ev)
+	case Placement:
+		b.onPlacement(&ev)
 	case Message:
 		b.onMessage(&ev)
 	}
--- a/balance/index.go
+++ b/balance/index.go
@@ -168,6 +168,26 @@
 	}
 }
 
+// trend is a server's weight without that factor as it changes by itself, until the time that it returns.
+func (b *Balancer) trend(s *server) (trend, float64) {
+	warm, rise, until := b.warmth(s), 0.0, math.Inf(1)
+	if b.now < s.coldSince {
+		until = s.coldSince
+	} else if b.cold(s) {
+		rise, until = (1-b.cfg.ColdFrom)/b.cfg.ColdTime, s.coldSince+b.cfg.ColdTime
+	}
+	well, hurt := b.health(s), 0.0
+	if well <= floorM {
+		until = math.Min(until, s.lastErr+halfLife*math.Log2(float64(s.errs)*slope/(1-floorM)))
+	} else {
+		well, hurt = 1, 1-well
+	}
+	size := 100 * s.Rating * math.Exp(s.size)
+	t := trend{level: size * warm * well, slope: size * rise * well, at: b.now}
+	t.dent, t.dentSlope = -size*warm*hurt, -size*rise*hurt
+	return t, until
+}
+
 // weightNow is the weight of a server of the rotation, its zone's favour included, from what settle keeps.
 func (b *Balancer) weightNow(s *server) float64 {
 	if s.part.steady() {
@@ -181,13 +201,13 @@
 func (b *Balancer) survey(total float64) {
 	b.carried, b.shares = 1, 0
 	for _, s := range b.reporters() {
-		if s.in {
+		if s.in && !s.off {
 			b.carried += b.holds(s)
 			b.shares += b.weightNow(s)
 		}
 	}
 	if b.told = b.shares > 0; !b.told {
-		b.carried, b.shares = 1+float64(b.rot.inFlight), total
+		b.carried, b.shares = 1+float64(b.rot.inFlight-b.hidden.inFlight), total
 	}
 }
 
@@ -408,8 +428,10 @@
 			b.extend(order, 2*next)
 		}
 		s := order.servers[next]
-		if s.in {
-			s.weight, s.known = b.weightNow(s), !b.told || b.fresh(s)
+		if s.off {
+			continue
+		} else if s.in {
+			b.look(s)
 		} else if !b.allRest || s.State != Ready {
 			continue
 		}
@@ -418,6 +440,9 @@
 	return next
 }
 
+// look takes a server of the rotation into the current pick by key.
+func (b *Balancer) look(s *server) { s.weight, s.known = b.weightNow(s), !b.told || b.fresh(s) }
+
 // keySpan is the requests over which a key's share is taken: seconds for a small sidecar.
 const keySpan = 256
 
--- a/balance/list.go
+++ b/balance/list.go
@@ -23,6 +23,7 @@
 		b.update(&ev.Servers[i])
 	}
 	b.dropGone()
+	b.relist()
 	if !b.tell.began && len(b.servers) > 0 {
 		b.found(hintAsk, 0)
 	}
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -19,21 +19,32 @@
 	if b.cfg.WarmKeys {
 		total = b.settle()
 	}
-	if b.allRest = false; keyed && b.rot.n > 0 {
+	if len(b.hidden.servers) > 0 {
+		total = b.without(total)
+	}
+	if b.allRest = false; keyed && b.rot.n > b.hidden.in {
 		b.survey(total)
 	} else if total = b.enter(r, false); total == 0 { // all rest: the cause is hardly theirs
+		if len(b.hidden.servers) > 0 {
+			return nil
+		}
 		b.allRest = true
 		total = b.enter(r, true)
 	}
 	if !repeat {
-		b.pool = total
+		b.pool = total + b.hidden.weight
 		b.turn++
+		for _, s := range b.hidden.servers { // they get none
+			s.turn++
+		}
 	}
 	b.creditTurns(keyed, repeat)
 	from := b.entered
 	if keyed {
 		b.room = keyHeadroom
-		from = b.shard(r.Key)
+		if from = b.carrier(r.Key); from == nil {
+			from = b.shard(r.Key)
+		}
 	}
 	var best *server
 	bestOver := false
@@ -73,7 +84,7 @@
 		}
 	case !b.narrow():
 		for _, s := range b.servers {
-			if s.in {
+			if s.in && !s.off {
 				s.weight = b.weightNow(s)
 				b.credit(s)
 			}
@@ -149,7 +160,7 @@
 
 // allowed: the rules let the request go there now; one that may have run, only where its key is known.
 func (b *Balancer) allowed(r *request, s *server) bool {
-	if s.State != Ready {
+	if s.State != Ready || s.off {
 		return false
 	}
 	for i := range r.tries {
--- a/balance/plain_test.go
+++ b/balance/plain_test.go
@@ -21,6 +21,9 @@
 	}
 	total := b.plainEnter(r, false)
 	allRest := total == 0
+	if allRest && len(b.hidden.servers) > 0 {
+		return nil
+	}
 	if allRest {
 		total = b.plainEnter(r, true)
 	}
@@ -35,6 +38,12 @@
 	if !repeat {
 		b.pool = total
 		b.turn++
+		for _, s := range b.hidden.servers {
+			s.turn++
+			if s.in {
+				b.pool += b.plainWeight(s)
+			}
+		}
 	}
 	for _, s := range b.entered {
 		if allRest && !repeat {
@@ -47,7 +56,11 @@
 	}
 	if keyed {
 		b.room = keyHeadroom
-		from = b.plainShard(r.Key)
+		if s := b.copyInTurn(r.Key); s != nil && s.in && slices.Contains(b.entered, s) && b.free(s) {
+			from = []*server{s}
+		} else {
+			from = b.plainShard(r.Key)
+		}
 	}
 	var best *server
 	bestOver := false
@@ -83,10 +96,7 @@
 		if !b.allowed(r, s) || !all && b.plainRests(s) {
 			continue
 		}
-		s.weight = b.weight(s)
-		if b.near(s) {
-			s.weight *= 1 + zoneFavour*b.cfg.Prices.CrossZone
-		}
+		s.weight = b.plainWeight(s)
 		total += s.weight
 		s.known = b.fresh(s)
 		fresh = fresh || s.known
@@ -98,6 +108,13 @@
 	return total
 }
 
+func (b *Balancer) plainWeight(s *server) float64 {
+	if b.near(s) {
+		return b.weight(s) * (1 + zoneFavour*b.cfg.Prices.CrossZone)
+	}
+	return b.weight(s)
+}
+
 func (b *Balancer) plainShard(key uint64) []*server {
 	all := b.entered
 	for _, s := range all {
@@ -267,6 +284,30 @@
 	w.do(out)
 }
 
+// place tells of a random placement, of which some is over, is of servers that are not listed or cannot be.
+func (w *twins) place() {
+	servers := func() (ids []ServerID) {
+		for range w.rnd.Intn(1 + len(w.list)/2) {
+			ids = append(ids, ServerID(1+w.rnd.Intn(len(w.list)+5)))
+		}
+		return ids
+	}
+	var p Placement
+	for id := range w.rnd.Intn(4) {
+		p.KeepOffs = append(p.KeepOffs, KeepOff{
+			ID: id, Tenant: w.rnd.Intn(4) - 1, Servers: servers(), Least: w.rnd.Float64() * 0.8, Until: w.now + 2000*w.rnd.Float64() - 100,
+		})
+	}
+	for key := range uint64(w.rnd.Intn(5)) {
+		s := Spread{Key: key * 3, Until: w.now + 2000*w.rnd.Float64() - 100}
+		for _, id := range servers() {
+			s.Copies = append(s.Copies, Copy{id, 0.4*w.rnd.Float64() - 0.1})
+		}
+		p.Spreads = append(p.Spreads, s)
+	}
+	w.do(p)
+}
+
 // The index makes a pick cheaper and changes none: on random events, with lost zones, restarts and changing lists,
 // every action is that of the plain way.
 func TestIndexedPickIsThePlainOne(t *testing.T) {
--- a/balance/size.go
+++ b/balance/size.go
@@ -29,26 +29,6 @@
 	return f
 }
 
-// trend is a server's weight without that factor as it changes by itself, until the time that it returns.
-func (b *Balancer) trend(s *server) (trend, float64) {
-	warm, rise, until := b.warmth(s), 0.0, math.Inf(1)
-	if b.now < s.coldSince {
-		until = s.coldSince
-	} else if b.cold(s) {
-		rise, until = (1-b.cfg.ColdFrom)/b.cfg.ColdTime, s.coldSince+b.cfg.ColdTime
-	}
-	well, hurt := b.health(s), 0.0
-	if well <= floorM {
-		until = math.Min(until, s.lastErr+halfLife*math.Log2(float64(s.errs)*slope/(1-floorM)))
-	} else {
-		well, hurt = 1, 1-well
-	}
-	size := 100 * s.Rating * math.Exp(s.size)
-	t := trend{level: size * warm * well, slope: size * rise * well, at: b.now}
-	t.dent, t.dentSlope = -size*warm*hurt, -size*rise*hurt
-	return t, until
-}
-
 func (b *Balancer) health(s *server) float64 { // the multiplier m
 	effective := float64(s.errs) * math.Exp(-math.Ln2*(b.now-s.lastErr)/halfLife)
 	return bound(1-slope*effective, floorM, 1)
--- a/balance/state.go
+++ b/balance/state.go
@@ -56,6 +56,9 @@
 	asked                  meter   // requests; see reach
 	zoneStates             map[int]*zoneState
 
+	inForce *inForce // nil: nothing is placed
+	hidden  hidden   // of the current pick
+
 	choose func(r *request, repeat bool) *server // pick, but where a test compares it with another way
 	spent  []*request                            // closed by the current event
 	idle   []*request                            // to be used again
@@ -66,6 +69,7 @@
 	Server
 	in     bool    // in the rotation
 	marked bool    // to be looked at before the next pick
+	off    bool    // kept out of the current pick by the placement
 	group  *group  // it counts in the sums of this one
 	part   trend   // ... with this
 	due    float64 // when that changes by itself
