--- a/balance/index.go
+++ b/balance/index.go
@@ -236,10 +236,7 @@
 	return keyOrders{byKey: map[uint64]*list.Element{}, recent: list.New()}
 }
 
-// keyPlace is weighted rendezvous hashing on the key: the same at all sidecars.
-func keyPlace(key uint64, s *server) float64 {
-	return -math.Log(float64(mix(mix(key)^uint64(s.ID))>>11+1)/(1<<53)) / s.Rating
-}
+func keyPlace(key uint64, s *server) float64 { return KeyPlace(key, s.ID, s.Rating) }
 
 // listChanged notes that a server came, went or is rated otherwise.
 func (o *keyOrders) listChanged(s *server) {
