Module: trickles as the spreader counts them

A copy without a share gets 0.02 of its key's load, all such copies 0.2 at the most, and what copies are told is scaled to leave room for it: the spreader's model of warming assumes the same.

--- a/balance/index.go
+++ b/balance/index.go
@@ -211,6 +211,31 @@
 	}
 }
 
+// creditTurns gives all servers in question their turns. A sidecar that keeps to few servers of each key does
+// not compare them by running: there it has to be up to date for a repeat only.
+func (b *Balancer) creditTurns(keyed, repeat bool) {
+	switch {
+	case b.allRest || !b.cfg.WarmKeys: // what is out of these gets no turns
+		for _, s := range b.entered {
+			if !repeat {
+				s.turn = b.turn - 1
+				b.credit(s)
+			}
+		}
+	case !keyed:
+		for _, s := range b.entered {
+			b.credit(s)
+		}
+	case !b.narrow():
+		for _, s := range b.servers {
+			if s.in && !s.off {
+				s.weight = b.weightNow(s)
+				b.credit(s)
+			}
+		}
+	}
+}
+
 // credit gives a server its turns since it was last credited, or came back, at the weight of now.
 func (b *Balancer) credit(s *server) {
 	s.running = math.Min(s.running+s.weight*(b.turn-s.turn), b.pool)
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -67,31 +67,6 @@
 	return best
 }
 
-// creditTurns gives all servers in question their turns. A sidecar that keeps to few servers of each key does
-// not compare them by running: there it has to be up to date for a repeat only.
-func (b *Balancer) creditTurns(keyed, repeat bool) {
-	switch {
-	case b.allRest || !b.cfg.WarmKeys: // what is out of these gets no turns
-		for _, s := range b.entered {
-			if !repeat {
-				s.turn = b.turn - 1
-				b.credit(s)
-			}
-		}
-	case !keyed:
-		for _, s := range b.entered {
-			b.credit(s)
-		}
-	case !b.narrow():
-		for _, s := range b.servers {
-			if s.in && !s.off {
-				s.weight = b.weightNow(s)
-				b.credit(s)
-			}
-		}
-	}
-}
-
 func (b *Balancer) mayTake(s *server) bool { return !b.cold(s) || b.coldBudget(s) }
 
 // over is bounded load: a server that holds more than its share is slow, hung or filled by others, whatever
--- a/balance/placed.go
+++ b/balance/placed.go
@@ -24,7 +24,7 @@
 	suspended []int // ... that would leave too little
 }
 
-// spreadKey is a key's copies. Their shares are 1 in all at the most.
+// spreadKey is a key's copies, with the shares that they get.
 type spreadKey struct {
 	copies []Copy
 	at     float64 // where in its turn the key is, 0 to 1
@@ -49,17 +49,7 @@
 			continue
 		}
 		kept := &spreadKey{copies: slices.Clone(s.Copies), until: s.Until}
-		total := 0.0
-		for i := range kept.copies {
-			c := &kept.copies[i]
-			if c.Share = math.Min(c.Share, 1); !(c.Share > 0) {
-				c.Share = 0
-			}
-			total += c.Share
-		}
-		for i := range kept.copies {
-			kept.copies[i].Share /= math.Max(total, 1)
-		}
+		parts(kept.copies)
 		if old != nil && old.spreads[s.Key] != nil {
 			kept.at = old.spreads[s.Key].at
 		} else {
--- a/balance/placement.go
+++ b/balance/placement.go
@@ -6,9 +6,10 @@
 // enough is left, and how much of a spread key its copies carry. Nothing of it runs before there is one.
 
 const (
-	// A copy that is told no share gets this part of its key's load: by it a new one gets warm, and one that
-	// cools is still warm when it is wanted again.
-	trickle = 0.02
+	// A copy that is told no share gets a trickle, this part of its key's load: by it a new one gets warm,
+	// and one that cools is still warm when it is wanted again.
+	trickle  = 0.02
+	trickles = 0.2 // ... for all of these together
 	// The golden section of a key's turn: steps of it meet each part of the turn as often as it is long,
 	// however few they are. Weighted round robin's first picks do not go by weight, and here few come.
 	spreadStep = 0.6180339887498949
@@ -108,6 +109,27 @@
 	return b.entered
 }
 
+// parts turns the shares that a placement tells into those that copies get: 1 in all at the most, trickles
+// included.
+func parts(copies []Copy) {
+	total, dry := 0.0, 0.0
+	for i := range copies {
+		c := &copies[i]
+		if c.Share = math.Min(c.Share, 1); !(c.Share > 0) {
+			c.Share = 0
+			dry++
+		}
+		total += c.Share
+	}
+	little := math.Min(trickle, trickles/math.Max(dry, 1))
+	scale := math.Min(1, (1-dry*little)/math.Max(total, 1e-9))
+	for i := range copies {
+		if copies[i].Share *= scale; copies[i].Share == 0 {
+			copies[i].Share = little
+		}
+	}
+}
+
 // copyInTurn takes the key on to its next turn and returns the copy that has it by the shares.
 func (b *Balancer) copyInTurn(key uint64) *server {
 	if b.inForce == nil || len(b.inForce.spreads) == 0 {
@@ -120,7 +142,7 @@
 	k.at = math.Mod(k.at+spreadStep, 1)
 	upTo := 0.0
 	for _, c := range k.copies {
-		if upTo += math.Max(c.Share, trickle); k.at < upTo {
+		if upTo += c.Share; k.at < upTo {
 			return b.byID[c.Server]
 		}
 	}
