Sidecar: follows a placement and reports, where its configuration names an address

Windows and spreads have to reach each sidecar, and end there when nobody tells any more.

SIGHUP moves it. Without an address nothing runs.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -53,12 +53,13 @@
 // Report is what a sidecar says once a second at the address that it gets its placement from. Reports are soft: never
 // in the log, bounded, and a lost one is made up for by the next.
 type Report struct {
-	Name   string  `json:"name"`
-	Zone   string  `json:"zone,omitempty"`
-	Rev    uint64  `json:"rev"` // of the placement in force
-	Epoch  uint64  `json:"epoch,omitempty"`
-	List   uint64  `json:"list"`    // revision of the list of servers in force
-	SpanMS float64 `json:"span_ms"` // what the counts below are of
+	Name    string  `json:"name"`
+	Zone    string  `json:"zone,omitempty"`
+	Version string  `json:"version,omitempty"` // of the sidecar, a free label of its configuration
+	Rev     uint64  `json:"rev"`               // of the placement in force
+	Epoch   uint64  `json:"epoch,omitempty"`
+	List    uint64  `json:"list"`    // revision of the list of servers in force
+	SpanMS  float64 `json:"span_ms"` // what the counts below are of
 	// Open is, for each keep-off entry in force, the requests open on the servers kept off.
 	Open      map[string]int `json:"open,omitempty"`
 	Suspended []string       `json:"suspended,omitempty"` // entries not followed, as too little would be left
--- a/internal/placement/report.go
+++ b/internal/placement/report.go
@@ -18,6 +18,8 @@
 		return bad("name", "%d bytes, wanted 1 to %d", len(r.Name), MaxName)
 	case len(r.Zone) > MaxName:
 		return bad("zone", "over %d bytes", MaxName)
+	case len(r.Version) > MaxName:
+		return bad("version", "over %d bytes", MaxName)
 	case !(r.SpanMS >= 0 && r.SpanMS <= maxSpanMS):
 		return bad("span_ms", "%v is not within 0 to %d", r.SpanMS, maxSpanMS)
 	case len(r.Open) > MaxOpen:
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -21,9 +21,13 @@
 	Name      string
 	Listen    string // where the application connects
 	Discovery string
-	Cores     float64
-	MemoryMB  int // 0: no limit
-	Sockets   int // descriptors in all
+	Placement string // where the placement is told and reports are taken; "": nowhere
+	// Application is the calling application, which is the tenant of all requests where the settings name none.
+	Application string
+	Version     string // a label for reports
+	Cores       float64
+	MemoryMB    int // 0: no limit
+	Sockets     int // descriptors in all
 
 	balance     balance.Config
 	classes     map[string]int
@@ -53,7 +57,8 @@
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
 	Seed      string `json:"seed"`
-	Limits    struct {
+	placementFile
+	Limits struct {
 		Cores    float64 `json:"cores"`
 		MemoryMB int     `json:"memory_mb"`
 		Sockets  int     `json:"sockets"`
@@ -124,6 +129,9 @@
 			return nil, fmt.Errorf("%s: %w", name, err)
 		}
 	}
+	if err := f.placementFile.check(); err != nil {
+		return nil, err
+	}
 	seed, err := strconv.ParseUint(f.Seed, 16, 64)
 	if err != nil {
 		return nil, fmt.Errorf("seed: %w", err)
@@ -141,6 +149,7 @@
 	}
 	cfg := &Config{
 		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery,
+		Placement: f.Placement, Application: f.Application, Version: f.Version,
 		Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets,
 		balance: settings, zones: index(n.Zones), kinds: index(n.Kinds), reportNames: n.Report.Fields,
 		connIdle: millis(n.Limits.ConnIdle), maxOpen: n.Limits.MaxOpen, known: f.Known,
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -67,6 +67,7 @@
 	sent   atomic.Bool // its last byte is written
 	ctx    context.Context
 	cancel context.CancelFunc
+	ended  bool // its outcome has come; the loop's alone
 }
 
 // What the loop is handed.
@@ -88,6 +89,7 @@
 		list list
 	}
 	moved struct{ discovery string } // a new configuration names this address
+	anew  struct{ placement, version string }
 )
 
 // timer is a SetTimer of the module.
@@ -116,6 +118,9 @@
 	ups     *upstreams
 	disc    *discovery
 	peers   *peers
+	placed  *inForce      // nil: no placement is followed
+	pace    placementPace // of the next placing
+	version string        // the label for reports
 	inbox   chan any
 	stopped chan struct{}
 
@@ -132,6 +137,7 @@
 func newLoop(cfg *Config, bal *balance.Balancer, ups *upstreams) *loop {
 	return &loop{
 		cfg: cfg, clock: newClock(), bal: bal, ups: ups,
+		version: cfg.Version, pace: placementPace{placementSilence, reportEvery, unixMS},
 		inbox: make(chan any, inboxSize), stopped: make(chan struct{}),
 		calls: map[balance.RequestID]*call{}, servers: map[balance.ServerID]*upstream{},
 	}
@@ -157,6 +163,7 @@
 	if !l.cfg.balance.Subscribe {
 		l.disc.subscribe(ctx)
 	}
+	l.place(now, l.cfg.Placement)
 	alarm := time.NewTimer(time.Hour)
 	defer alarm.Stop()
 	for {
@@ -204,6 +211,7 @@
 		l.calls[l.lastID] = ev.call
 		request := ev.call.ev
 		request.Remaining = l.clock.ms(ev.call.deadline) - now
+		l.placed.arrived(now, &request)
 		l.tell(now, request)
 	case hangUp:
 		l.concluded(ev.call)
@@ -221,12 +229,19 @@
 		}
 	case moved:
 		l.move(ev.discovery)
+	case placed:
+		l.takePlaced(now, ev)
+	case anew:
+		l.version = ev.version
+		l.place(now, ev.placement)
 	}
 }
 
 // takeOutcome passes on the one outcome of an attempt. The first that is served is the client's answer.
 func (l *loop) takeOutcome(now float64, a *attempt, r reply) {
 	a.cancel()
+	a.ended = true
+	l.placed.ended(now, a, r.result)
 	c := a.call
 	c.live--
 	if r.result == balance.OK && c.finish() {
@@ -296,7 +311,7 @@
 		}
 		l.retire(old)
 		if entry.State == balance.Ready {
-			l.servers[entry.ID] = &upstream{id: entry.ID, endpoint: t.Endpoint, bootMS: t.BootMS, startedAt: entry.StartedAt}
+			l.servers[entry.ID] = &upstream{id: entry.ID, endpoint: t.Endpoint, bootMS: t.BootMS, startedAt: entry.StartedAt, zone: t.Zone}
 		}
 	}
 	if n.kind != balance.ListDelta {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -47,7 +47,8 @@
 	loop     *loop
 	frontend *frontend
 
-	discovery               string // the address in force; Reload's alone
+	discovery               string // the address in force; Reload's alone, as is placement
+	placement               anew
 	drainAccept, drainServe time.Duration
 }
 
@@ -74,7 +75,7 @@
 		maxTaken = min(maxTaken, cfg.maxOpen)
 	}
 	return &Sidecar{
-		cfg: cfg, discovery: cfg.Discovery, loop: l,
+		cfg: cfg, discovery: cfg.Discovery, placement: anew{cfg.Placement, cfg.Version}, loop: l,
 		drainAccept: drainAccept, drainServe: drainTime(cfg) - lastAnswers,
 		frontend: &frontend{
 			cfg: cfg, post: l.post, conns: newClientConns(listener, clients, int(keepShare*float64(cfg.Sockets))), ids: newIDMemory(),
@@ -106,9 +107,14 @@
 // Addr is the address where clients connect.
 func (s *Sidecar) Addr() string { return s.frontend.conns.Addr().String() }
 
-// Reload takes over what may change while the sidecar runs: where discovery is. All else is for the next
+// Reload takes over what may change while the sidecar runs: where discovery and the placement are, and its label. All else is for the next
 // start. It is called by one goroutine, that of the signals.
 func (s *Sidecar) Reload(cfg *Config) {
+	if to := (anew{cfg.Placement, cfg.Version}); to != s.placement {
+		s.placement = to
+		slog.Info("reads the placement anew", "placement", to.placement, "version", to.version)
+		s.loop.post(to)
+	}
 	if cfg.Discovery == s.discovery {
 		slog.Info("reloaded, discovery as before")
 		return
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -44,6 +44,7 @@
 	id       balance.ServerID
 	endpoint string
 	bootMS   float64 // as discovery tells it
+	zone     string
 
 	idleFor   time.Duration // a connection that rested longer is not used again; 0: as the settings say
 	startedAt float64       // as the module was told
