--- a/cmd/silverreel/lean_test.go
+++ b/cmd/silverreel/lean_test.go
@@ -13,7 +13,8 @@
 		t.Fatal(err)
 	}
 	for name := range strings.Lines(string(out)) {
-		for _, word := range []string{"cobra", "toml", "raft", "prometheus", "gonum", "hdrhistogram", "milldeck/internal/lab"} {
+		for _, word := range []string{"cobra", "toml", "raft", "prometheus", "gonum", "hdrhistogram", "milldeck/internal/lab",
+			"milldeck/internal/registry", "milldeck/internal/agent", "milldeck/internal/disruption"} {
 			if strings.Contains(name, word) {
 				t.Errorf("the sidecar links %s", name)
 			}
--- a/cmd/silverreel/main_test.go
+++ b/cmd/silverreel/main_test.go
@@ -48,6 +48,19 @@
 	}
 }
 
+func TestBadPlacementAddressEndsTheStart(t *testing.T) {
+	for _, addr := range []string{"agent", "127.0.0.1", "127.0.0.1:0", "agent:80", "127.0.0.1:99999"} {
+		cmd, log := program(t, strings.Replace(config, "{", `{"placement":"`+addr+`",`, 1))
+		err := cmd.Run()
+		exit, is := err.(*exec.ExitError)
+		file := strings.TrimPrefix(cmd.Env[len(cmd.Env)-1], "NODE_CONFIG=")
+		text := log.String()
+		if !is || exit.ExitCode() != 1 || strings.Count(text, "\n") != 1 || !strings.Contains(text, file+": placement: ") {
+			t.Errorf("%s: %v, %q, want status 1 and one line that names the file and the key", addr, err, text)
+		}
+	}
+}
+
 // started runs the program until its log names the address where it listens.
 func started(t *testing.T, config string) (cmd *exec.Cmd, lines *bufio.Scanner, addr string) {
 	t.Helper()
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -137,7 +137,7 @@
 func newLoop(cfg *Config, bal *balance.Balancer, ups *upstreams) *loop {
 	return &loop{
 		cfg: cfg, clock: newClock(), bal: bal, ups: ups,
-		version: cfg.Version, pace: placementPace{placementSilence, reportEvery, unixMS},
+		version: cfg.Version, pace: placementPace{placementSilence, reportEvery, placementMost, unixMS},
 		inbox: make(chan any, inboxSize), stopped: make(chan struct{}),
 		calls: map[balance.RequestID]*call{}, servers: map[balance.ServerID]*upstream{},
 	}
--- a/internal/sidecar/placement.go
+++ b/internal/sidecar/placement.go
@@ -53,6 +53,7 @@
 type placementPace struct {
 	silence time.Duration // after which a watch has ended
 	every   time.Duration // between two reports
+	most    time.Duration // between two tries
 	wall    func() int64  // Unix ms
 }
 
@@ -119,7 +120,7 @@
 			slog.Warn("placement: watch ended", "error", err)
 			last = text
 		}
-		if time.Since(began) > placementMost {
+		if time.Since(began) > p.most {
 			backoff, last = placementFirst, ""
 		}
 		pause := backoff
@@ -130,7 +131,7 @@
 		case <-ctx.Done():
 		case <-time.After(pause/2 + rand.N(pause)/2):
 		}
-		backoff = min(2*backoff, placementMost)
+		backoff = min(2*backoff, p.most)
 	}
 }
 
--- a/internal/sidecar/placement_test.go
+++ b/internal/sidecar/placement_test.go
@@ -183,7 +183,9 @@
 
 // A line that cannot be used ends its watch and leaves what was told before; the next asks after that.
 func TestBadPlacementsLeaveTheLastGoodOne(t *testing.T) {
-	p := placedSidecar(t, nil, func(s *Sidecar) { s.loop.pace.silence = 300 * time.Millisecond })
+	p := placedSidecar(t, nil, func(s *Sidecar) {
+		s.loop.pace.silence, s.loop.pace.most = 300*time.Millisecond, 50*time.Millisecond
+	})
 	call := receive(t, "the watch", p.agent.calls)
 	indented, _ := json.MarshalIndent(placement.List{Rev: 1, All: true, Epoch: 5, Entries: []placement.Entry{keepOff(time.Hour, "a")}}, "", "  ")
 	call.line(t, "\n"+string(indented))
