--- a/internal/sidecar/inforce.go
+++ b/internal/sidecar/inforce.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"log/slog"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -100,7 +101,8 @@
 	var told balance.Placement
 	for i := range entries {
 		e := entryInForce{Entry: entries[i], until: base + float64(entries[i].LeftMS)}
-		if k, found := slices.BinarySearchFunc(old, e.ID, func(o entryInForce, id string) int { return cmp.Compare(o.ID, id) }); found && old[k].again(&e.Entry) {
+		k, found := slices.BinarySearchFunc(old, e.ID, func(o entryInForce, id string) int { return cmp.Compare(o.ID, id) })
+		if found && old[k].again(&e.Entry) {
 			e.until = math.Min(e.until, old[k].until)
 		}
 		switch e.Kind {
@@ -190,9 +192,12 @@
 			r.Open[e.ID] = l.openAt(&e)
 		}
 	}
+	if len(r.Open) > placement.MaxOpen { // too many to be told: none told means none open
+		maps.DeleteFunc(r.Open, func(_ string, n int) bool { return n == 0 })
+	}
 	suspended := l.bal.Suspended()
 	for _, e := range f.entries {
-		if n, is := f.numbers[e.ID]; is && slices.Contains(suspended, n) {
+		if n, is := f.numbers[e.ID]; is && slices.Contains(suspended, n) && len(r.Suspended) < placement.MaxOpen {
 			r.Suspended = append(r.Suspended, e.ID)
 		}
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -107,8 +107,8 @@
 // Addr is the address where clients connect.
 func (s *Sidecar) Addr() string { return s.frontend.conns.Addr().String() }
 
-// Reload takes over what may change while the sidecar runs: where discovery and the placement are, and its label. All else is for the next
-// start. It is called by one goroutine, that of the signals.
+// Reload takes over what may change while the sidecar runs: where discovery and the placement are, and its label
+// for reports. All else is for the next start. It is called by one goroutine, that of the signals.
 func (s *Sidecar) Reload(cfg *Config) {
 	if to := (anew{cfg.Placement, cfg.Version}); to != s.placement {
 		s.placement = to
