--- a/internal/sidecar/placement.go
+++ b/internal/sidecar/placement.go
@@ -111,18 +111,17 @@
 	defer p.client.CloseIdleConnections()
 	backoff, last := placementFirst, ""
 	for ctx.Err() == nil {
-		began := time.Now()
-		err := p.watch(ctx)
+		heard, err := p.watch(ctx)
 		if ctx.Err() != nil {
 			return
 		}
+		if heard {
+			backoff, last = placementFirst, ""
+		}
 		if text := err.Error(); text != last { // an agent that stays away is told of once
 			slog.Warn("placement: watch ended", "error", err)
 			last = text
 		}
-		if time.Since(began) > p.most {
-			backoff, last = placementFirst, ""
-		}
 		pause := backoff
 		if errors.Is(err, errNoPlacement) {
 			pause = placementNone
@@ -135,8 +134,8 @@
 	}
 }
 
-// watch follows changes after what is known.
-func (p *placing) watch(ctx context.Context) error {
+// watch follows changes after what is known, and tells whether it heard anything.
+func (p *placing) watch(ctx context.Context) (heard bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	guard := time.AfterFunc(p.silence, func() { cancel(errPlacementLate) })
@@ -149,33 +148,37 @@
 	p.mu.Unlock()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return err
+		return false, err
 	}
 	resp, err := p.client.Do(req)
 	if err != nil {
-		return errors.Join(context.Cause(ctx), err)
+		return false, errors.Join(context.Cause(ctx), err)
 	}
 	defer resp.Body.Close()
 	switch resp.StatusCode {
 	case http.StatusOK:
 	case http.StatusNotFound:
-		return errNoPlacement
+		return false, errNoPlacement
 	default:
-		return fmt.Errorf("the agent answers %s", resp.Status)
+		return false, fmt.Errorf("the agent answers %s", resp.Status)
 	}
 	in := bufio.NewReader(resp.Body)
+	alive := func() {
+		heard = true
+		guard.Reset(p.silence)
+	}
 	for {
-		value, err := readValue(in, func() { guard.Reset(p.silence) })
-		if err != nil {
-			if cause := context.Cause(ctx); cause != nil {
-				return cause
-			}
-			return err
+		value, err := readValue(in, alive)
+		if err == nil {
+			err = p.take(value)
 		}
-		if err := p.take(value); err != nil {
-			return err
+		if cause := context.Cause(ctx); cause != nil {
+			return heard, cause
 		}
-		guard.Reset(p.silence)
+		if err != nil {
+			return false, err
+		}
+		alive()
 	}
 }
 
