--- a/internal/sidecar/placement.go
+++ b/internal/sidecar/placement.go
@@ -176,7 +176,7 @@
 			return heard, cause
 		}
 		if err != nil {
-			return false, err
+			return heard, err
 		}
 		alive()
 	}
