--- /dev/null
+++ b/internal/spread/decide.go
@@ -0,0 +1,329 @@
+package spread
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"strconv"
+
+	"milldeck/internal/placement"
+)
+
+const (
+	// slack is what a key that is widened gets beyond what its heat needs, as loads vary.
+	slack = 1.15
+	// narrowStep is the part of a key's copies that one step gives up.
+	narrowStep = 0.25
+	// coolPart is the part of what widens a key under which its copies are given up early, where another needs them.
+	coolPart = 0.25
+	// doubtFor is the s for which a key is kept wide only because it might be just under what reports list.
+	doubtFor = 10.0
+	// wait is the s after the first report in which nothing is widened: each sidecar is to be heard first.
+	wait = 1.2
+)
+
+// Effect is a change of the placement: an entry to be put, or the id of one to be dropped.
+type Effect struct {
+	Put  *placement.Entry
+	Drop string
+}
+
+// Decider decides what is spread. It is not safe for use by several goroutines.
+type Decider struct {
+	cfg   Config
+	fleet fleet
+	heat  heat
+	keys  map[uint64]*spreadKey
+	gone  map[string]bool // ids whose entries are to be dropped and are not known to be
+	now   float64         // of the last decision
+	first float64         // of the first report; 0: there was none
+	cold  float64         // ms of extra cold work that may be caused now
+	start float64         // copies that may be started now
+}
+
+// New returns a Decider with an empty table. It may cause no cold work yet: a row of deciders that fail one after the
+// other keeps the budget too.
+func New(cfg Config) (*Decider, error) {
+	if err := cfg.Check(); err != nil {
+		return nil, err
+	}
+	return &Decider{cfg: cfg, fleet: newFleet(cfg.Bear), heat: newHeat(cfg.Half, cfg.Work),
+		keys: map[uint64]*spreadKey{}, gone: map[string]bool{}}, nil
+}
+
+// Servers takes the whole list of servers. Copies on those that have restarted or are gone end with the next decision.
+func (d *Decider) Servers(list []Server) {
+	boots := map[string]float64{}
+	for i := range d.fleet.servers {
+		boots[d.fleet.servers[i].UID] = d.fleet.servers[i].Boot
+	}
+	d.fleet.set(list)
+	for i := range d.fleet.servers {
+		s := &d.fleet.servers[i]
+		if was, ok := boots[s.UID]; ok && was != s.Boot {
+			for _, k := range d.keys {
+				k.drop(s.UID)
+			}
+		}
+	}
+}
+
+// Sidecars says how many sidecars there are, as far as that is known; reports tell of more.
+func (d *Decider) Sidecars(n int) { d.heat.expected = n }
+
+// Report takes a sidecar's report; false: it is nonsense or one too many, and counts as lost. It shows what copies have
+// answered: a sidecar that follows an entry sends them their parts of what it reports of the key.
+func (d *Decider) Report(now float64, r *placement.Report) bool {
+	var before uint64
+	if last := d.heat.reporters[r.Name]; last != nil {
+		before = last.rev
+	}
+	if !d.heat.take(now, r) {
+		return false
+	}
+	if d.first == 0 {
+		d.first = now
+	}
+	this := d.heat.reporters[r.Name]
+	for _, l := range this.heat {
+		k := d.keys[l.key]
+		if k == nil || slices.Contains(r.Suspended, ID(l.key)) {
+			continue
+		}
+		// No sidecar alone makes a copy warm: it shows at most its part of what all surely see.
+		answers := math.Min(l.low, k.low/float64(d.heat.witnesses())) / d.cfg.Work
+		for _, c := range k.copies {
+			span := math.Min(this.span, 1.5*every)
+			switch i, ok := d.fleet.at[c.uid]; {
+			case !ok || !d.fleet.usable(i) || d.fleet.servers[i].Choked || c.rev == 0 || this.rev < c.rev:
+				continue
+			case before < c.rev: // it has followed for a part of the time: half of it, where nothing tells more
+				span /= 2
+			}
+			c.answered += answers * math.Max(span, 0) * c.part
+		}
+	}
+	return true
+}
+
+// Resume takes over the table that a predecessor left in the placement, after Servers. Copies carry what they carried
+// and not more before they have shown again that they can; those that were warming begin anew.
+func (d *Decider) Resume(now float64, entries []placement.Entry) {
+	for i := range entries {
+		e := &entries[i]
+		key, err := strconv.ParseUint(e.Key, 16, 64)
+		if e.Kind != placement.Spread || err != nil || e.ID != ID(key) || float64(e.UntilMS) <= now*1000 || len(d.keys) >= d.cfg.MaxKeys {
+			continue
+		}
+		k := &spreadKey{key: key, narrowAt: now + d.cfg.Hold, told: *e, until: float64(e.UntilMS) / 1000}
+		given, little := 0.0, trickle(&d.cfg, e.Copies)
+		for _, c := range e.Copies {
+			if !(c.Share >= 0 && c.Share <= 1) || k.find(c.UID) != nil {
+				continue
+			}
+			given += c.Share
+			k.copies = append(k.copies, &copyOf{uid: c.UID, rev: e.Rev, part: max(c.Share, little), since: now, base: c.Share})
+		}
+		own := k.ownBears(&d.fleet)
+		for _, c := range k.copies {
+			i, ok := d.fleet.at[c.uid]
+			if !ok || c.base == 0 {
+				continue
+			}
+			share := c.base
+			c.stage, c.base = Carrying, 1
+			if given < 1 && own > 0 { // as entry makes shares of what copies carry
+				c.base = math.Min(share*own/(1-given)/d.fleet.bears(i), 1)
+			}
+		}
+		d.keys[key] = k
+	}
+}
+
+// Wrote says that the effect about an id, of the last decision, is in force from a revision on. An effect of which that
+// is not said is decided again.
+func (d *Decider) Wrote(id string, rev uint64) {
+	delete(d.gone, id)
+	for _, k := range d.keys {
+		if k.told.ID != id {
+			continue
+		}
+		k.unsure = false
+		little := trickle(&d.cfg, k.told.Copies)
+		for _, told := range k.told.Copies {
+			if c := k.find(told.UID); c != nil {
+				if c.part = told.Share; c.part == 0 {
+					c.part = little
+				}
+				if c.rev == 0 {
+					c.rev = rev
+				}
+			}
+		}
+	}
+}
+
+// sorted returns the keys of the table in a fixed order.
+func (d *Decider) sorted() []*spreadKey {
+	out := make([]*spreadKey, 0, len(d.keys))
+	for _, key := range slices.Sorted(maps.Keys(d.keys)) {
+		out = append(out, d.keys[key])
+	}
+	return out
+}
+
+// Decide returns what is to change. It is called a few times a second, with a time that does not run back.
+func (d *Decider) Decide(now float64) []Effect {
+	dt := math.Min(math.Max(now-d.now, 0), 1)
+	if d.now == 0 {
+		dt = 0
+	}
+	d.now = now
+	d.cold = math.Min(d.cold+dt*d.cfg.Budget, math.Max(d.cfg.Budget, d.cfg.ColdWork))
+	d.start = math.Min(d.start+dt*d.cfg.CopiesPerS, math.Max(d.cfg.CopiesPerS, 1))
+	d.heat.merge(now)
+	for _, k := range d.sorted() {
+		k.tend(&d.fleet, &d.cfg, now)
+	}
+	if d.first > 0 && now >= d.first+wait {
+		d.find(now)
+	}
+	for _, k := range d.sorted() {
+		d.measure(k)
+		d.leave(k, now)
+		d.narrow(k, now)
+	}
+	d.widen(now)
+	return d.tell(now)
+}
+
+// room is the part of what a server bears that a key may fill, beside all the rest.
+func (d *Decider) room(low float64) float64 {
+	if d.fleet.all == 0 {
+		return 0
+	}
+	return d.cfg.Full - math.Max(d.heat.all-low, 0)/d.fleet.all
+}
+
+// find takes keys into the table whose least heat is more than their own servers have room for.
+func (d *Decider) find(now float64) {
+	for _, key := range d.heat.keys { // the hottest first
+		low := d.heat.low(key)
+		room := d.room(low)
+		if d.keys[key] != nil {
+			continue
+		}
+		if len(d.keys) >= d.cfg.MaxKeys || low <= 0 {
+			return
+		}
+		if d.heat.sums[key].low <= d.cfg.MinRoom*d.fleet.bear { // one server bears it, and all after it
+			return
+		}
+		k := &spreadKey{key: key}
+		if room >= d.cfg.MinRoom && low > k.ownBears(&d.fleet)*room {
+			k.narrowAt = now + d.cfg.Hold
+			d.keys[key] = k
+		}
+	}
+}
+
+// measure brings up to date what a key needs. As the least heat goes up fast and its servers are shared, it only grows
+// beyond what there is where that is too little by the least figure.
+func (d *Decider) measure(k *spreadKey) {
+	k.low = d.heat.low(k.key)
+	k.room = d.room(k.low)
+	_, all := k.bears(&d.fleet)
+	have := k.ownBears(&d.fleet) + all
+	k.need = k.keep
+	if k.room >= d.cfg.MinRoom && k.low > have*k.room {
+		k.need = math.Max(k.need, math.Min(slack*k.low/k.room, d.fleet.all))
+	}
+}
+
+// narrow gives copies up where the most that the heat can be is far less than what they have room for.
+func (d *Decider) narrow(k *spreadKey, now float64) {
+	room := math.Max(k.room, d.cfg.MinRoom)
+	carrying, all := k.bears(&d.fleet)
+	own := k.ownBears(&d.fleet)
+	var live []*copyOf
+	for _, c := range k.copies {
+		if c.stage != Cooling && !d.fleet.leaving[c.uid] {
+			live = append(live, c)
+		}
+	}
+	step := int(math.Ceil(narrowStep * float64(len(live))))
+	if step == 0 || k.keep > 0 {
+		return
+	}
+	left := own + math.Min(carrying, all)
+	for _, c := range live[len(live)-step:] {
+		if c.stage == Carrying {
+			left -= d.fleet.bears(d.fleet.at[c.uid])
+		}
+	}
+	fits := func(high float64) bool { return high <= d.cfg.NarrowAt*room*left }
+	if !fits(d.heat.high(k.key, false)) {
+		k.doubtAt = 0
+		return
+	}
+	if !fits(d.heat.high(k.key, true)) {
+		if k.doubtAt == 0 {
+			k.doubtAt = now
+		}
+		if now-k.doubtAt < doubtFor {
+			return
+		}
+	} else {
+		k.doubtAt = 0
+	}
+	short := d.copies() >= d.cfg.MaxCopies && k.low < coolPart*room*own
+	if now < k.narrowAt && !short {
+		return
+	}
+	for _, c := range live[len(live)-step:] {
+		if c.stage == Warming {
+			k.drop(c.uid)
+		} else {
+			c.stage, c.giveUp = Cooling, now
+		}
+	}
+	k.narrowAt = math.Max(k.narrowAt, now+d.cfg.NarrowEvery)
+}
+
+// copies counts those that do not cool.
+func (d *Decider) copies() int {
+	n := 0
+	for _, k := range d.keys {
+		for _, c := range k.copies {
+			if c.stage != Cooling {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// tell returns the entries that changed, are not known to be in force, or whose end is near, and those to be dropped.
+func (d *Decider) tell(now float64) []Effect {
+	var out []Effect
+	for _, k := range d.sorted() {
+		if len(k.copies) == 0 {
+			if k.told.ID != "" {
+				d.gone[k.told.ID] = true
+			}
+			delete(d.keys, k.key)
+			continue
+		}
+		e := k.entry(&d.fleet, &d.cfg, now)
+		if k.told.ID == e.ID && !k.unsure && !differs(e.Copies, k.told.Copies) && k.until-now > d.cfg.Until/2 {
+			continue
+		}
+		delete(d.gone, e.ID)
+		k.told, k.until, k.unsure = e, now+d.cfg.Until, true
+		out = append(out, Effect{Put: &e})
+	}
+	for _, id := range slices.Sorted(maps.Keys(d.gone)) {
+		out = append(out, Effect{Drop: id})
+	}
+	return out
+}
