--- a/internal/spread/decide.go
+++ b/internal/spread/decide.go
@@ -34,11 +34,12 @@
 	fleet fleet
 	heat  heat
 	keys  map[uint64]*spreadKey
-	gone  map[string]bool // ids whose entries are to be dropped and are not known to be
-	now   float64         // of the last decision
-	first float64         // of the first report; 0: there was none
-	cold  float64         // ms of extra cold work that may be caused now
-	start float64         // copies that may be started now
+	gone  map[string]bool          // ids whose entries are to be dropped and are not known to be
+	now   float64                  // of the last decision
+	first float64                  // of the first report; 0: there was none
+	cold  float64                  // ms of extra cold work that may be caused now
+	start float64                  // copies that may be started now
+	bound func(key uint64) float64 // the heat by which keys are widened: the safe one, which tests replace by others
 }
 
 // New returns a Decider with an empty table. It may cause no cold work yet: a row of deciders that fail one after the
@@ -47,8 +48,14 @@
 	if err := cfg.Check(); err != nil {
 		return nil, err
 	}
-	return &Decider{cfg: cfg, fleet: newFleet(cfg.Bear), heat: newHeat(cfg.Half, cfg.Work),
-		keys: map[uint64]*spreadKey{}, gone: map[string]bool{}}, nil
+	return newDecider(cfg), nil
+}
+
+func newDecider(cfg Config) *Decider {
+	d := &Decider{cfg: cfg, fleet: newFleet(cfg.Bear), heat: newHeat(cfg.Half, cfg.Work),
+		keys: map[uint64]*spreadKey{}, gone: map[string]bool{}}
+	d.bound = d.heat.low
+	return d
 }
 
 // Servers takes the whole list of servers. Copies on those that have restarted or are gone end with the next decision.
@@ -74,16 +81,16 @@
 // Report takes a sidecar's report; false: it is nonsense or one too many, and counts as lost. It shows what copies have
 // answered: a sidecar that follows an entry sends them their parts of what it reports of the key.
 func (d *Decider) Report(now float64, r *placement.Report) bool {
-	var before uint64
-	if last := d.heat.reporters[r.Name]; last != nil {
-		before = last.rev
-	}
+	before := d.heat.reporters[r.Name]
 	if !d.heat.take(now, r) {
 		return false
 	}
 	if d.first == 0 {
 		d.first = now
 	}
+	if before == nil {
+		return true
+	}
 	this := d.heat.reporters[r.Name]
 	for _, l := range this.heat {
 		k := d.keys[l.key]
@@ -91,16 +98,16 @@
 			continue
 		}
 		// No sidecar alone makes a copy warm: it shows at most its part of what all surely see.
-		answers := math.Min(l.low, k.low/float64(d.heat.witnesses())) / d.cfg.Work
+		most := k.low / float64(d.heat.witnesses()) * math.Max(now-before.at, 0)
+		answers := math.Min(this.work(before, l, d.heat.half), most) / d.cfg.Work
 		for _, c := range k.copies {
-			span := math.Min(this.span, 1.5*every)
 			switch i, ok := d.fleet.at[c.uid]; {
 			case !ok || !d.fleet.usable(i) || d.fleet.servers[i].Choked || c.rev == 0 || this.rev < c.rev:
-				continue
-			case before < c.rev: // it has followed for a part of the time: half of it, where nothing tells more
-				span /= 2
+			case before.rev < c.rev: // it has followed for a part of the time: half of it, where nothing tells more
+				c.answered += answers * c.part / 2
+			default:
+				c.answered += answers * c.part
 			}
-			c.answered += answers * math.Max(span, 0) * c.part
 		}
 	}
 	return true
@@ -116,15 +123,17 @@
 			continue
 		}
 		k := &spreadKey{key: key, narrowAt: now + d.cfg.Hold, told: *e, until: float64(e.UntilMS) / 1000}
-		given, little := 0.0, trickle(&d.cfg, e.Copies)
+		given, carry, little := 0.0, 0, trickle(&d.cfg, e.Copies)
 		for _, c := range e.Copies {
 			if !(c.Share >= 0 && c.Share <= 1) || k.find(c.UID) != nil {
 				continue
 			}
-			given += c.Share
+			if given += c.Share; c.Share > 0 {
+				carry++
+			}
 			k.copies = append(k.copies, &copyOf{uid: c.UID, rev: e.Rev, part: max(c.Share, little), since: now, base: c.Share})
 		}
-		own := k.ownBears(&d.fleet)
+		own, rest := k.ownBears(&d.fleet), 1-math.Min(d.cfg.Trickles, d.cfg.Trickle*float64(k.warmers()-carry))
 		for _, c := range k.copies {
 			i, ok := d.fleet.at[c.uid]
 			if !ok || c.base == 0 {
@@ -132,8 +141,8 @@
 			}
 			share := c.base
 			c.stage, c.base = Carrying, 1
-			if given < 1 && own > 0 { // as entry makes shares of what copies carry
-				c.base = math.Min(share*own/(1-given)/d.fleet.bears(i), 1)
+			if given < rest && own > 0 { // as entry makes shares of what copies carry
+				c.base = math.Min(share*own/(rest-given)/d.fleet.bears(i), 1)
 			}
 		}
 		d.keys[key] = k
@@ -197,19 +206,20 @@
 	return d.tell(now)
 }
 
-// room is the part of what a server bears that a key may fill, beside all the rest.
-func (d *Decider) room(low float64) float64 {
+// room is the part of what a server bears that a key may fill beside all the rest: most by what is surely there, least
+// by what may be. A key is too hot for its servers by the one; there is room elsewhere by the other.
+func (d *Decider) room(low float64) (most, least float64) {
 	if d.fleet.all == 0 {
-		return 0
+		return 0, 0
 	}
-	return d.cfg.Full - math.Max(d.heat.all-low, 0)/d.fleet.all
+	return d.cfg.Full - math.Max(d.heat.seen-low, 0)/d.fleet.all, d.cfg.Full - math.Max(d.heat.all-low, 0)/d.fleet.all
 }
 
 // find takes keys into the table whose least heat is more than their own servers have room for.
 func (d *Decider) find(now float64) {
 	for _, key := range d.heat.keys { // the hottest first
-		low := d.heat.low(key)
-		room := d.room(low)
+		low := d.bound(key)
+		room, least := d.room(low)
 		if d.keys[key] != nil {
 			continue
 		}
@@ -220,7 +230,7 @@
 			return
 		}
 		k := &spreadKey{key: key}
-		if room >= d.cfg.MinRoom && low > k.ownBears(&d.fleet)*room {
+		if least >= d.cfg.MinRoom && low > k.ownBears(&d.fleet)*room {
 			k.narrowAt = now + d.cfg.Hold
 			d.keys[key] = k
 		}
@@ -230,20 +240,20 @@
 // measure brings up to date what a key needs. As the least heat goes up fast and its servers are shared, it only grows
 // beyond what there is where that is too little by the least figure.
 func (d *Decider) measure(k *spreadKey) {
-	k.low = d.heat.low(k.key)
-	k.room = d.room(k.low)
-	_, all := k.bears(&d.fleet)
+	k.low = d.bound(k.key)
+	k.room, k.least = d.room(k.low)
+	_, all := k.bears(&d.fleet, &d.cfg)
 	have := k.ownBears(&d.fleet) + all
 	k.need = k.keep
-	if k.room >= d.cfg.MinRoom && k.low > have*k.room {
+	if k.least >= d.cfg.MinRoom && k.low > have*k.room {
 		k.need = math.Max(k.need, math.Min(slack*k.low/k.room, d.fleet.all))
 	}
 }
 
 // narrow gives copies up where the most that the heat can be is far less than what they have room for.
 func (d *Decider) narrow(k *spreadKey, now float64) {
-	room := math.Max(k.room, d.cfg.MinRoom)
-	carrying, all := k.bears(&d.fleet)
+	room := math.Max(k.least, d.cfg.MinRoom)
+	carrying, _ := k.bears(&d.fleet, &d.cfg)
 	own := k.ownBears(&d.fleet)
 	var live []*copyOf
 	for _, c := range k.copies {
@@ -255,10 +265,10 @@
 	if step == 0 || k.keep > 0 {
 		return
 	}
-	left := own + math.Min(carrying, all)
+	left := own + carrying
 	for _, c := range live[len(live)-step:] {
 		if c.stage == Carrying {
-			left -= d.fleet.bears(d.fleet.at[c.uid])
+			left -= d.fleet.bears(d.fleet.at[c.uid]) * c.ramp(&d.cfg, now)
 		}
 	}
 	fits := func(high float64) bool { return high <= d.cfg.NarrowAt*room*left }
--- a/internal/spread/heat.go
+++ b/internal/spread/heat.go
@@ -23,13 +23,16 @@
 	witnesses = 4
 	// outlier is how many times the median's load of all keys a sidecar's can be. Above it counts as nonsense.
 	outlier = 8.0
+	// youngest is the part of its average that the first report of a sidecar is taken to show.
+	youngest = 0.4
 	// chance is by how many standard deviations a load counts as less than it was measured.
 	chance = 3.0
 )
 
 // reporter is what a sidecar reported last.
 type reporter struct {
-	at, span   float64 // s: when it came, and the time since the one before, where it can be told
+	first      float64 // s: when it was heard first
+	at         float64 // s: when it came
 	rev, epoch uint64
 	all        float64
 	floor      float64 // a key that is not listed has at most this
@@ -51,9 +54,10 @@
 
 	sums map[uint64]*sum
 	keys []uint64 // that may be hot, sorted
-	// all is the load of all keys at most; missing is by what sums of the reports at hand are to be multiplied.
-	all, missing, floors float64
-	fresh                int
+	// all is the load of all keys at most, seen what reports show of it; missing is by what sums of the reports at hand
+	// are to be multiplied.
+	all, seen, missing, floors float64
+	fresh                      int
 }
 
 // sum is a key's load over the fresh reports.
@@ -68,7 +72,7 @@
 
 // take keeps a report; false: it is nonsense, or one too many, and tells nothing.
 func (h *heat) take(now float64, r *placement.Report) bool {
-	next := &reporter{at: now, rev: r.Rev, epoch: r.Epoch, all: r.HeatAll}
+	next := &reporter{first: now, at: now, rev: r.Rev, epoch: r.Epoch, all: r.HeatAll}
 	if r.Name == "" || len(r.Name) > 256 || len(r.Heat) > placement.MaxHeat || !(r.HeatAll >= 0) || math.IsInf(r.HeatAll, 1) {
 		return false
 	}
@@ -102,12 +106,23 @@
 		i, _ := slices.BinarySearch(h.names, r.Name)
 		h.names = slices.Insert(h.names, i, r.Name)
 	} else {
-		next.span = now - last.at
+		next.first = last.first
 	}
 	h.reporters[r.Name] = next
 	return true
 }
 
+// work is what a sidecar has surely been asked for of a key between its last two reports, in ms.
+func (r *reporter) work(before *reporter, l listed, half float64) float64 {
+	was := before.floor
+	for _, o := range before.heat {
+		if o.key == l.key {
+			was = o.high
+		}
+	}
+	return math.Max(l.low-was*math.Exp2(-(r.at-before.at)/half), 0) * half / math.Ln2
+}
+
 // merge adds up the reports that are fresh. What a sidecar has surely seen holds until its next report is due and fades
 // then as in the summary itself, so that it stays a lower bound of the same average.
 func (h *heat) merge(now float64) {
@@ -119,7 +134,7 @@
 		return gone
 	})
 	clear(h.sums)
-	h.all, h.floors, h.fresh, h.missing = 0, 0, 0, 1
+	h.all, h.seen, h.floors, h.fresh, h.missing = 0, 0, 0, 0, 1
 	var alls []float64
 	for _, name := range h.names {
 		if r := h.reporters[name]; now-r.at <= staleAfter {
@@ -140,7 +155,10 @@
 			continue
 		}
 		h.fresh++
-		h.all += r.all
+		h.seen += r.all
+		// A sidecar that was not heard before may have begun to count just now: its average is still to come up. That
+		// is made up for in the most that servers have to do.
+		h.all += r.all / math.Max(1-math.Exp2(-(r.at-r.first)/h.half), youngest)
 		h.floors += r.floor
 		fade := math.Exp2(-math.Max(now-r.at-every, 0) / h.half)
 		for _, l := range r.heat {
--- a/internal/spread/leave.go
+++ b/internal/spread/leave.go
@@ -17,7 +17,7 @@
 			k.drop(uid)
 		}
 		if c := k.find(uid); c != nil && c.stage == Carrying || d.ownOf(k, uid) {
-			carrying, _ := k.bears(&d.fleet)
+			carrying, _ := k.bears(&d.fleet, &d.cfg)
 			k.keep = max(k.keep, k.ownBears(&d.fleet)+carrying)
 		}
 	}
@@ -52,7 +52,7 @@
 
 // replaced: what carries the key without the servers that leave is as much as it was with them.
 func (d *Decider) replaced(k *spreadKey) bool {
-	carrying, _ := k.bears(&d.fleet)
+	carrying, _ := k.bears(&d.fleet, &d.cfg)
 	return k.ownBears(&d.fleet)+carrying >= k.keep*(1-1e-9)
 }
 
--- a/internal/spread/table.go
+++ b/internal/spread/table.go
@@ -25,7 +25,8 @@
 	low      float64 // ms/s, of the last decision
 	need     float64 // ms/s that own servers and copies together have to have room for
 	keep     float64 // ms/s that carried it when a server of it was to leave; 0: none is
-	room     float64 // part of what a server bears that this key may fill
+	room     float64 // part of what a server bears that this key may fill, at most ...
+	least    float64 // ... and at least
 	narrowAt float64 // s: not narrowed before
 	doubtAt  float64 // s: since when only the floors of reports speak for the key
 	told     placement.Entry
@@ -127,8 +128,9 @@
 	return sum
 }
 
-// bears is what copies bear that carry, and with them those that warm; those that will leave left out.
-func (k *spreadKey) bears(f *fleet) (carrying, all float64) {
+// bears is what copies bear by what they can carry already, and what all do that carry or warm; those that will leave
+// are left out.
+func (k *spreadKey) bears(f *fleet, cfg *Config) (carrying, all float64) {
 	for _, c := range k.copies {
 		i := f.at[c.uid]
 		if f.leaving[c.uid] || c.stage == Cooling {
@@ -136,7 +138,7 @@
 		}
 		all += f.bears(i)
 		if c.stage == Carrying {
-			carrying += f.bears(i)
+			carrying += f.bears(i) * c.ramp(cfg, 0)
 		}
 	}
 	return carrying, all
--- a/internal/spread/widen.go
+++ b/internal/spread/widen.go
@@ -22,7 +22,7 @@
 			}
 		}
 		own := k.ownBears(&d.fleet)
-		_, all := k.bears(&d.fleet)
+		_, all := k.bears(&d.fleet, &d.cfg)
 		w := &want{k, own, own + all}
 		if w.have >= k.need {
 			continue
--- a/internal/spread/world_test.go
+++ b/internal/spread/world_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 
 	"milldeck/internal/placement"
@@ -22,7 +24,7 @@
 
 // world is a fleet of sidecars that meet thinned Poisson traffic, a placement and a decider, on a virtual clock.
 type world struct {
-	t    *testing.T
+	t    testing.TB
 	rnd  *rand.Rand
 	cfg  Config
 	d    *Decider
@@ -30,24 +32,32 @@
 	cars []*car
 	list []Server
 
-	load  float64                    // requests a second, of the fleet
-	draw  func() uint64              // the key of a request that is not for a hot one
-	hot   map[uint64]float64         // parts of all requests
-	lost  float64                    // part of the reports that are lost
-	twist func(r *placement.Report)  // what nonsense the first sidecar reports; nil: none
-	plant func(r *placement.Report)  // a planted bug: what the decider makes of each report
-	dead  bool                       // there is no decider
-	every float64                    // s between decisions
-	rev   uint64                     // of the placement
-	table map[string]placement.Entry // in force
+	load  float64                   // requests a second, of the fleet
+	draw  func() uint64             // the key of a request that is not for a hot one
+	hot   map[uint64]float64        // parts of all requests
+	hots  []uint64                  // its keys, sorted
+	lost  float64                   // part of the reports that are lost
+	twist func(r *placement.Report) // what nonsense the first sidecar reports; nil: none
+	plant func(*Decider)            // plants a bug in each decider; nil: none
+	wrong func(*Decider)            // a planted bug that acts before each decision; nil: none
+	dead  bool                      // there is no decider
+	every float64                   // s between decisions
+	rev   uint64                    // of the placement
+	table map[uint64]told           // in force
 
-	answered map[[2]string]float64 // requests of a key (entry id, server) in the mean since its copy was told
-	firsts   int                   // copies that were told
-	early    int                   // copies that were told a share before they had answered half of what they should have
-	extra    float64               // ms of extra cold work that copies really had
-	started  float64               // ms of it that was decided
-	overrun  bool                  // more of either than the budget allowed since the start
-	widened  map[uint64]int        // times that a key was told first
+	firsts  int            // copies that were told
+	early   int            // copies that were told a share before they had answered half of what they should have
+	extra   float64        // ms of extra cold work that copies really had
+	started float64        // ms of it that was decided
+	overrun bool           // more of either than the budget allowed since the start
+	widened map[uint64]int // times that a key was told first
+}
+
+// told is an entry with what its copies have really answered, in the mean, since they were told.
+type told struct {
+	placement.Entry
+	little   float64 // part that a copy without a share gets
+	answered []*float64
 }
 
 type car struct {
@@ -55,16 +65,16 @@
 	sum   *summary.Summary
 	next  float64 // s: its next report
 	sees  uint64  // revision in force
-	table map[string]placement.Entry
+	table map[uint64]told
 	due   float64 // s: when it has the placement as it is now
 }
 
-func newWorld(t *testing.T, seed uint64, cfg Config) *world {
+func newWorld(t testing.TB, seed uint64, cfg Config) *world {
 	w := &world{t: t, rnd: rand.New(rand.NewPCG(seed, 7)), cfg: cfg, load: 3000, hot: map[uint64]float64{}, every: 0.25,
-		table: map[string]placement.Entry{}, answered: map[[2]string]float64{}, widened: map[uint64]int{}}
+		table: map[uint64]told{}, widened: map[uint64]int{}}
 	w.draw = func() uint64 { return 1<<32 + w.rnd.Uint64N(10_000) }
 	for i := range sidecars {
-		w.cars = append(w.cars, &car{name: fmt.Sprint("sidecar-", i), sum: summary.New(64, cfg.Half), next: w.rnd.Float64()})
+		w.cars = append(w.cars, &car{name: fmt.Sprint("sidecar-", i), sum: newSummary(cfg), next: w.rnd.Float64()})
 	}
 	for i := range servers {
 		w.list = append(w.list, Server{UID: fmt.Sprint("server-", i), Zone: fmt.Sprint("z", i%3), Pod: i / 4, Capacity: 1, Ready: true})
@@ -77,27 +87,20 @@
 
 // decider begins a new decider, which takes the table over.
 func (w *world) decider() {
-	w.d = &Decider{cfg: w.cfg, fleet: newFleet(w.cfg.Bear), heat: newHeat(w.cfg.Half, w.cfg.Work),
-		keys: map[uint64]*spreadKey{}, gone: map[string]bool{}} // as New, but planted settings pass
+	w.d = newDecider(w.cfg) // planted settings need not pass New
+	if w.plant != nil {
+		w.plant(w.d)
+	}
 	w.d.Sidecars(sidecars)
 	w.d.Servers(w.list)
 	var es []placement.Entry
-	for _, id := range w.ids() {
-		es = append(es, w.table[id])
+	for _, key := range slices.Sorted(maps.Keys(w.table)) {
+		es = append(es, w.table[key].Entry)
 	}
 	w.d.Resume(start+w.now, es)
 	w.dead = false
 }
 
-func (w *world) ids() []string {
-	var ids []string
-	for id := range w.table {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
-
 // run plays until done says so or for some seconds, and returns how long it took.
 func (w *world) run(seconds float64, done func() bool) float64 {
 	from := w.now
@@ -113,6 +116,7 @@
 func (w *world) step() {
 	before := w.now
 	w.now += tick
+	w.hots = slices.Sorted(maps.Keys(w.hot))
 	for _, c := range w.cars {
 		if w.now >= c.due {
 			c.due, c.sees, c.table = math.Inf(1), w.rev, w.table
@@ -125,9 +129,9 @@
 			w.report(c)
 		}
 	}
-	for id, e := range w.table {
+	for key, e := range w.table {
 		if float64(e.UntilMS) < (start+w.now)*1000 {
-			w.change(func(t map[string]placement.Entry) { delete(t, id) })
+			w.change(func(t map[uint64]told) { delete(t, key) })
 		}
 	}
 	if !w.dead && math.Floor(w.now/w.every) > math.Floor(before/w.every) {
@@ -148,30 +152,24 @@
 
 func (w *world) request(c *car) {
 	key, u := w.draw(), w.rnd.Float64()
-	for _, k := range sortedKeys(w.hot) {
+	for _, k := range w.hots {
 		if u -= w.hot[k]; u < 0 {
 			key = k
 			break
 		}
 	}
 	c.sum.Add(w.now, key, testWork*(0.5+w.rnd.Float64()))
-	e, ok := c.table[ID(key)]
+	e, ok := c.table[key]
 	if !ok {
 		return
 	}
-	little := trickle(&w.cfg, e.Copies)
-	for _, copied := range e.Copies { // in the mean, so that what is asserted is no matter of chance
-		at := [2]string{e.ID, copied.UID}
-		n, told := w.answered[at]
-		if !told {
-			continue
-		}
-		p := copied.Share
+	for i, copied := range e.Copies { // in the mean, so that what is asserted is no matter of chance
+		p, n := copied.Share, e.answered[i]
 		if p == 0 {
-			p = little
+			p = e.little
 		}
-		w.answered[at] += p
-		w.extra += math.Max(math.Min(n+p, 3)-n, 0) * testWork // the first three answers are cold
+		w.extra += math.Max(math.Min(*n+p, 3)-*n, 0) * testWork // the first three answers are cold
+		*n += p
 	}
 }
 
@@ -184,21 +182,14 @@
 	if c == w.cars[0] && w.twist != nil {
 		w.twist(&r)
 	}
-	if w.plant != nil {
-		w.plant(&r)
-	}
 	if w.rnd.Float64() >= w.lost && !w.dead {
 		w.d.Report(start+w.now, &r)
 	}
 }
 
-func (w *world) change(do func(map[string]placement.Entry)) {
-	next := map[string]placement.Entry{}
-	for id, e := range w.table {
-		next[id] = e
-	}
-	do(next)
-	w.table = next
+func (w *world) change(do func(map[uint64]told)) {
+	w.table = maps.Clone(w.table)
+	do(w.table)
 	w.rev++
 	for _, c := range w.cars {
 		if math.IsInf(c.due, 1) || c.due == 0 {
@@ -208,45 +199,60 @@
 }
 
 func (w *world) decide() {
+	if w.wrong != nil {
+		w.wrong(w.d)
+	}
 	for _, f := range w.d.Decide(start + w.now) {
 		if f.Put == nil {
-			w.change(func(t map[string]placement.Entry) { delete(t, f.Drop) })
+			w.change(func(t map[uint64]told) {
+				maps.DeleteFunc(t, func(_ uint64, e told) bool { return e.ID == f.Drop })
+			})
 			w.d.Wrote(f.Drop, w.rev)
 			continue
 		}
-		old, was := w.table[f.Put.ID]
+		key, _ := strconv.ParseUint(f.Put.Key, 16, 64)
+		old, was := w.table[key]
 		if !was {
-			k := f.Put.Key
-			var key uint64
-			fmt.Sscanf(k, "%x", &key)
 			w.widened[key]++
 		}
+		next := told{Entry: *f.Put, little: trickle(&w.cfg, f.Put.Copies)}
+		next.Rev = w.rev + 1
+		parts := 0.0
 		for _, c := range f.Put.Copies {
-			at := [2]string{f.Put.ID, c.UID}
-			if !slices.ContainsFunc(old.Copies, func(o placement.Copy) bool { return o.UID == c.UID }) {
-				w.answered[at] = 0
+			i := slices.IndexFunc(old.Copies, func(o placement.Copy) bool { return o.UID == c.UID })
+			n := new(float64)
+			if i >= 0 {
+				n = old.answered[i]
+			} else {
 				w.firsts++
 				w.started += w.cfg.ColdWork
-				if c.Share > 0 {
-					w.early++
-				}
-			} else if c.Share > 0 && w.answered[at] < testConfig().Warm/2 {
+			}
+			next.answered = append(next.answered, n)
+			if c.Share > 0 && *n < testConfig().Warm/2 {
 				w.early++
-				w.answered[at] = math.Inf(1)
 			}
+			if parts += c.Share; c.Share == 0 {
+				parts += next.little
+			}
+			if s := &w.list[w.server(c.UID)]; !s.Ready || s.KeptOff {
+				w.t.Errorf("%.2f s: %s has a copy", w.now, c.UID)
+			}
+		}
+		if parts > 1.001 {
+			w.t.Errorf("%.2f s: parts of %v in all", w.now, parts)
 		}
-		w.change(func(t map[string]placement.Entry) {
-			e := *f.Put
-			e.Rev = w.rev + 1
-			t[e.ID] = e
-		})
+		w.change(func(t map[uint64]told) { t[key] = next })
 		w.d.Wrote(f.Put.ID, w.rev)
 	}
 }
 
-// carried is the part of a key's load that copies carry by the placement in force.
+func (w *world) server(uid string) int {
+	return slices.IndexFunc(w.list, func(s Server) bool { return s.UID == uid })
+}
+
+// carried is the part of a key's load that copies carry by the placement in force, and how many do.
 func (w *world) carried(key uint64) (part float64, copies int) {
-	for _, c := range w.table[ID(key)].Copies {
+	for _, c := range w.table[key].Copies {
 		part += c.Share
 		if c.Share > 0 {
 			copies++
@@ -255,22 +261,12 @@
 	return part, copies
 }
 
-func (w *world) has(uid string) bool {
-	for _, e := range w.table {
-		for _, c := range e.Copies {
-			if c.UID == uid {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-func sortedKeys(m map[uint64]float64) []uint64 {
-	var out []uint64
-	for k := range m {
-		out = append(out, k)
+// sound fails the test where a copy had a share too early, or the budget was overrun.
+func (w *world) sound(what string) {
+	w.t.Helper()
+	if w.early > 0 || w.overrun {
+		w.t.Errorf("%s: %d of %d copies had a share too early; budget overrun: %v (%.0f ms began, %.0f ms real in %.1f s)",
+			what, w.early, w.firsts, w.overrun, w.started, w.extra, w.now)
 	}
-	slices.Sort(out)
-	return out
 }
+func newSummary(cfg Config) *summary.Summary { return summary.New(64, cfg.Half) }
