--- a/internal/spread/decide.go
+++ b/internal/spread/decide.go
@@ -133,7 +133,7 @@
 			}
 			k.copies = append(k.copies, &copyOf{uid: c.UID, rev: e.Rev, part: max(c.Share, little), since: now, base: c.Share})
 		}
-		own, rest := k.ownBears(&d.fleet), 1-math.Min(d.cfg.Trickles, d.cfg.Trickle*float64(k.warmers()-carry))
+		own, rest := k.ownBears(&d.fleet), 1-math.Min(d.cfg.Trickles, d.cfg.Trickle*float64(k.count(Warming)-carry))
 		for _, c := range k.copies {
 			i, ok := d.fleet.at[c.uid]
 			if !ok || c.base == 0 {
@@ -304,11 +304,7 @@
 func (d *Decider) copies() int {
 	n := 0
 	for _, k := range d.keys {
-		for _, c := range k.copies {
-			if c.stage != Cooling {
-				n++
-			}
-		}
+		n += k.count(Warming) + k.count(Carrying)
 	}
 	return n
 }
--- a/internal/spread/leave.go
+++ b/internal/spread/leave.go
@@ -94,18 +94,8 @@
 	var out []Row
 	for _, k := range d.sorted() {
 		told := k.told
-		r := Row{Key: Name(k.key), Low: k.low, High: min(d.heat.high(k.key, true), math.MaxFloat64), Placement: &told}
-		for _, c := range k.copies {
-			switch c.stage {
-			case Warming:
-				r.Warming++
-			case Carrying:
-				r.Carrying++
-			case Cooling:
-				r.Cooling++
-			}
-		}
-		out = append(out, r)
+		out = append(out, Row{Key: Name(k.key), Low: k.low, High: min(d.heat.high(k.key, true), math.MaxFloat64),
+			Warming: k.count(Warming), Carrying: k.count(Carrying), Cooling: k.count(Cooling), Placement: &told})
 	}
 	return out
 }
--- a/internal/spread/table.go
+++ b/internal/spread/table.go
@@ -86,11 +86,11 @@
 	return math.Min(cfg.Trickle, cfg.Trickles/math.Max(float64(n), 1))
 }
 
-// warmers counts the copies that are warming.
-func (k *spreadKey) warmers() int {
+// count counts the copies at a stage.
+func (k *spreadKey) count(at Stage) int {
 	n := 0
 	for _, c := range k.copies {
-		if c.stage == Warming {
+		if c.stage == at {
 			n++
 		}
 	}
@@ -174,7 +174,7 @@
 			total += weights[i]
 		}
 	}
-	rest := 1 - math.Min(cfg.Trickles, cfg.Trickle*float64(k.warmers()))
+	rest := 1 - math.Min(cfg.Trickles, cfg.Trickle*float64(k.count(Warming)))
 	for i, c := range k.copies {
 		share := 0.0
 		if total > 0 {
--- a/internal/spread/widen.go
+++ b/internal/spread/widen.go
@@ -14,13 +14,8 @@
 		own, have float64 // ms/s that all its servers bear
 	}
 	var wants []*want
-	count := 0
+	count := d.copies()
 	for _, k := range d.sorted() {
-		for _, c := range k.copies {
-			if c.stage != Cooling {
-				count++
-			}
-		}
 		own := k.ownBears(&d.fleet)
 		_, all := k.bears(&d.fleet, &d.cfg)
 		w := &want{k, own, own + all}
@@ -39,7 +34,7 @@
 	}
 	// gain is what a further copy takes off the key's servers, of what is too much for them.
 	gain := func(w *want) float64 {
-		if w.have >= w.k.need || w.k.warmers() >= d.cfg.Warmers {
+		if w.have >= w.k.need || w.k.count(Warming) >= max(d.cfg.Warmers, w.k.count(Carrying)/2) {
 			return 0
 		}
 		if w.k.keep > w.have {
--- a/internal/spread/world_test.go
+++ b/internal/spread/world_test.go
@@ -23,6 +23,7 @@
 )
 
 // world is a fleet of sidecars that meet thinned Poisson traffic, a placement and a decider, on a virtual clock.
+
 type world struct {
 	t    testing.TB
 	rnd  *rand.Rand
