--- a/internal/spread/decide.go
+++ b/internal/spread/decide.go
@@ -89,7 +89,7 @@
 		d.first = now
 	}
 	if before == nil {
-		return true
+		return true // how long it has counted is not known
 	}
 	this := d.heat.reporters[r.Name]
 	for _, l := range this.heat {
@@ -97,18 +97,7 @@
 		if k == nil || slices.Contains(r.Suspended, ID(l.key)) {
 			continue
 		}
-		// No sidecar alone makes a copy warm: it shows at most its part of what all surely see.
-		most := k.low / float64(d.heat.witnesses()) * math.Max(now-before.at, 0)
-		answers := math.Min(this.work(before, l, d.heat.half), most) / d.cfg.Work
-		for _, c := range k.copies {
-			switch i, ok := d.fleet.at[c.uid]; {
-			case !ok || !d.fleet.usable(i) || d.fleet.servers[i].Choked || c.rev == 0 || this.rev < c.rev:
-			case before.rev < c.rev: // it has followed for a part of the time: half of it, where nothing tells more
-				c.answered += answers * c.part / 2
-			default:
-				c.answered += answers * c.part
-			}
-		}
+		k.note(shown{r.Name, this.work(before, l, d.heat.half) / d.cfg.Work, before.rev, this.rev})
 	}
 	return true
 }
@@ -192,6 +181,7 @@
 	d.start = math.Min(d.start+dt*d.cfg.CopiesPerS, math.Max(d.cfg.CopiesPerS, 1))
 	d.heat.merge(now)
 	for _, k := range d.sorted() {
+		k.credit(&d.fleet, d.heat.witnesses())
 		k.tend(&d.fleet, &d.cfg, now)
 	}
 	if d.first > 0 && now >= d.first+wait {
--- a/internal/spread/table.go
+++ b/internal/spread/table.go
@@ -31,9 +31,18 @@
 	doubtAt  float64 // s: since when only the floors of reports speak for the key
 	told     placement.Entry
 	until    float64 // s: end of the entry as it was told
+	shown    []shown // of sidecars since copies were credited last, one of each
 	unsure   bool    // the entry told last is not known to be in force
 }
 
+// shown is what a sidecar's report shows of a key: requests asked since its last report, and the revisions that it
+// followed at the begin and at the end of that time.
+type shown struct {
+	name     string
+	requests float64
+	from, to uint64
+}
+
 type copyOf struct {
 	uid      string
 	stage    Stage
@@ -102,6 +111,47 @@
 	k.copies = slices.DeleteFunc(k.copies, func(c *copyOf) bool { return c.uid == uid })
 }
 
+// note keeps what a report shows.
+func (k *spreadKey) note(s shown) {
+	if i := slices.IndexFunc(k.shown, func(o shown) bool { return o.name == s.name }); i >= 0 {
+		s.requests += k.shown[i].requests
+		s.from = min(s.from, k.shown[i].from)
+		k.shown[i] = s
+		return
+	}
+	k.shown = append(k.shown, s)
+}
+
+// credit has copies answered their parts of what enough sidecars have shown. One alone makes up at most its part among
+// the witnesses, so that none makes a copy warm by itself.
+func (k *spreadKey) credit(f *fleet, witnesses int) {
+	if len(k.shown) < witnesses {
+		return
+	}
+	for _, c := range k.copies {
+		if i, ok := f.at[c.uid]; !ok || !f.usable(i) || f.servers[i].Choked || c.rev == 0 {
+			continue
+		}
+		all, most := 0.0, 0.0
+		for _, s := range k.shown {
+			n := s.requests * c.part
+			switch {
+			case s.to < c.rev:
+				continue
+			case s.from < c.rev: // it has followed for a part of the time: half of it, where nothing tells more
+				n /= 2
+			}
+			all += n
+			most = math.Max(most, n)
+		}
+		if rest := all - most; witnesses > 1 {
+			all = rest + math.Min(most, rest/float64(witnesses-1))
+		}
+		c.answered += all
+	}
+	k.shown = k.shown[:0]
+}
+
 // tend moves copies on: those whose servers are gone are gone, those that answered enough carry, those that have cooled
 // are dropped.
 func (k *spreadKey) tend(f *fleet, cfg *Config, now float64) {
