--- a/internal/spread/bench_test.go
+++ b/internal/spread/bench_test.go
@@ -20,7 +20,7 @@
 			w, c, r := onset(b, 1000+seed, testConfig(), 20)
 			w.sound("onset")
 			carry, relieved = append(carry, c), append(relieved, r)
-			work = max(work, w.extra/(w.cfg.Budget*(w.now+1)))
+			work = max(work, w.extra/(w.budget()*(w.now+1)))
 		}
 		slices.Sort(carry)
 		slices.Sort(relieved)
@@ -52,7 +52,7 @@
 // BenchmarkDecide is one decision over 300 sidecars' reports of 32 keys each, with 8 keys spread over 2,000 servers; a
 // tenth of the reports is new each time.
 func BenchmarkDecide(b *testing.B) {
-	d := newDecider(Default(testBear, testWork, 2000))
+	d := newDecider(Default(testBear, testWork))
 	var list []Server
 	for i := range 2000 {
 		list = append(list, Server{UID: fmt.Sprint("server-", i), Zone: fmt.Sprint(i % 3), Pod: i / 8, Capacity: 1, Ready: true})
--- a/internal/spread/config.go
+++ b/internal/spread/config.go
@@ -22,11 +22,12 @@
 	Warm     float64 // answers after which a copy carries a first part of its share
 	Ramp     float64 // answers after which it carries all of it, at least Warm
 	ColdWork float64 // ms: extra work of warming one copy
-	Budget   float64 // ms a second: extra cold work for all keys together; a second of it may be saved up
+	// Budget is the part of what the fleet bears that extra cold work for all keys together may take, Least the ms a
+	// second that it may take in any case. A second of either may be saved up.
+	Budget, Least float64
 
-	MaxKeys    int     // keys spread at a time
-	MaxCopies  int     // copies of all keys together, at a time
-	CopiesPerS float64 // copies started a second, all keys together; a second of them may be saved up
+	MaxKeys int     // keys spread at a time
+	Copies  float64 // copies of all keys together, for each ready server, at a time and begun a second
 	// NarrowAt is the part of what the servers left would have room for that a key's heat has to fall to before it is
 	// narrowed: far enough under what widens it that chance does not trade the two.
 	NarrowAt    float64
@@ -37,9 +38,8 @@
 	Until       float64 // s for which an entry holds; it is prolonged when half of it is over
 }
 
-// Default returns the settings for a fleet of servers that each do bear ms of work a second, for requests of usual work
-// ms. The budget is of a fleet of n such servers.
-func Default(bear, work float64, n int) Config {
+// Default returns the settings for servers that each do bear ms of work a second, and requests of usually work ms.
+func Default(bear, work float64) Config {
 	return Config{
 		Bear: bear, Work: work,
 		Half:    0.7,                              // an onset has to show within a second
@@ -47,10 +47,10 @@
 		MinRoom: 0.1,                              // less than that, and chance alone fills a server
 		Trickle: 0.02, Trickles: 0.2, Warmers: 10, // a hot key has hundreds of requests a second: each warms within one
 		Warm: 3, Ramp: 12, // the first answer alone warms; the others show that the server is well
-		ColdWork:  3 * work,                                  // as many cold answers as Warm, each about twice its work
-		Budget:    max(0.03*bear*float64(n), 10*3*work),      // 3% of the fleet, and never less than ten copies a second
-		MaxKeys:   32,                                        // more are no few hot keys but a heavy tail
-		MaxCopies: max(n, 8), CopiesPerS: max(float64(n), 8), // no more than the fleet's number
+		ColdWork: 3 * work,                   // as many cold answers as Warm, each about twice its work
+		Budget:   0.03, Least: 10 * 3 * work, // ten copies a second in the smallest fleet
+		MaxKeys:  32, // more are no few hot keys but a heavy tail
+		Copies:   1,
 		NarrowAt: 0.6, Hold: 5, NarrowEvery: 2, // a key whose heat comes back within seconds finds its copies warm
 		Cool:   1,
 		GiveUp: 20, // Warm answers by the trickle of 15 requests a second
@@ -67,9 +67,10 @@
 		{"bear", c.Bear, 1e-3, 1e9}, {"work", c.Work, 1e-3, 1e6}, {"half", c.Half, 0.1, 60}, {"full", c.Full, 0.1, 1},
 		{"min_room", c.MinRoom, 0.01, c.Full}, {"trickle", c.Trickle, 1e-6, 0.5}, {"trickles", c.Trickles, 1e-6, 0.5},
 		{"warmers", float64(c.Warmers), 1, 1000}, {"warm", c.Warm, 1, 1e4},
-		{"ramp", c.Ramp, c.Warm, 1e5}, {"cold_work", c.ColdWork, 1e-3, 1e6}, {"budget", c.Budget, 0, 1e12},
-		{"max_keys", float64(c.MaxKeys), 1, 1024}, {"max_copies", float64(c.MaxCopies), 1, 1e5},
-		{"copies_per_s", c.CopiesPerS, 0, 1e5}, {"narrow_at", c.NarrowAt, 0.01, 0.9}, {"give_up", c.GiveUp, 1, 3600}, {"hold", c.Hold, 0, 3600}, {"narrow_every", c.NarrowEvery, 0.1, 3600},
+		{"ramp", c.Ramp, c.Warm, 1e5}, {"cold_work", c.ColdWork, 1e-3, 1e6}, {"budget", c.Budget, 0, 1},
+		{"least", c.Least, 0, 1e9},
+		{"max_keys", float64(c.MaxKeys), 1, 1024}, {"copies", c.Copies, 0, 10},
+		{"narrow_at", c.NarrowAt, 0.01, 0.9}, {"give_up", c.GiveUp, 1, 3600}, {"hold", c.Hold, 0, 3600}, {"narrow_every", c.NarrowEvery, 0.1, 3600},
 		{"cool", c.Cool, 0, 60}, {"until", c.Until, 1, 600},
 	} {
 		if !(f.v >= f.from && f.v <= f.to) {
--- a/internal/spread/decide.go
+++ b/internal/spread/decide.go
@@ -16,6 +16,11 @@
 	narrowStep = 0.25
 	// coolPart is the part of what widens a key under which its copies are given up early, where another needs them.
 	coolPart = 0.25
+	// leastCopies may be there in the smallest fleet.
+	leastCopies = 4.0
+	// widest is how many copies of a key are begun for its heat. What stands in for servers that leave needs the rest
+	// up to placement.MaxCopies.
+	widest = 56
 	// doubtFor is the s for which a key is kept wide only because it might be just under what reports list.
 	doubtFor = 10.0
 	// wait is the s after the first report in which nothing is widened: each sidecar is to be heard first.
@@ -177,8 +182,9 @@
 		dt = 0
 	}
 	d.now = now
-	d.cold = math.Min(d.cold+dt*d.cfg.Budget, math.Max(d.cfg.Budget, d.cfg.ColdWork))
-	d.start = math.Min(d.start+dt*d.cfg.CopiesPerS, math.Max(d.cfg.CopiesPerS, 1))
+	budget := math.Max(d.cfg.Budget*d.fleet.all, d.cfg.Least)
+	d.cold = math.Min(d.cold+dt*budget, math.Max(budget, d.cfg.ColdWork))
+	d.start = math.Min(d.start+dt*d.mostCopies(), math.Max(d.mostCopies(), 1))
 	d.heat.merge(now)
 	for _, k := range d.sorted() {
 		k.credit(&d.fleet, d.heat.witnesses())
@@ -276,7 +282,7 @@
 	} else {
 		k.doubtAt = 0
 	}
-	short := d.copies() >= d.cfg.MaxCopies && k.low < coolPart*room*own
+	short := float64(d.copies()) >= d.mostCopies() && k.low < coolPart*room*own
 	if now < k.narrowAt && !short {
 		return
 	}
@@ -290,6 +296,11 @@
 	k.narrowAt = math.Max(k.narrowAt, now+d.cfg.NarrowEvery)
 }
 
+// mostCopies is how many copies there may be, and how many may be begun a second.
+func (d *Decider) mostCopies() float64 {
+	return math.Max(d.cfg.Copies*float64(d.fleet.ready), leastCopies)
+}
+
 // copies counts those that do not cool.
 func (d *Decider) copies() int {
 	n := 0
--- /dev/null
+++ b/internal/spread/driver_test.go
@@ -0,0 +1,176 @@
+package spread
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"milldeck/internal/collect"
+	"milldeck/internal/duty"
+	"milldeck/internal/placement"
+	"milldeck/internal/registry"
+)
+
+// store stands in for the list service.
+type store struct {
+	mu      sync.Mutex
+	list    registry.List
+	entries map[string]placement.Entry
+	rev     uint64
+	token   uint64 // the one that counts
+	down    bool   // no write is answered
+	refused int    // writes under a token that does not count
+}
+
+func (s *store) List(context.Context, bool) (registry.List, error) { return s.list, nil }
+
+func (s *store) PlacementView(context.Context, bool) (placement.List, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := placement.List{Rev: s.rev, All: true}
+	for _, id := range slices.Sorted(maps.Keys(s.entries)) {
+		l.Entries = append(l.Entries, s.entries[id])
+	}
+	return l, nil
+}
+
+func (s *store) SetPlacement(_ context.Context, w registry.Write, atMS int64, set []placement.Entry, drop ...string) (registry.Result, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.down:
+		return registry.Result{}, errors.New("no leader")
+	case w.Guard == nil || w.Guard.Duty != Duty || w.Guard.Token != s.token:
+		s.refused++
+		return registry.Result{}, errors.New("the token counts no more")
+	case max(atMS-time.Now().UnixMilli(), time.Now().UnixMilli()-atMS) > 1000:
+		return registry.Result{}, fmt.Errorf("at %d", atMS)
+	}
+	s.rev++
+	for _, e := range set {
+		if err := e.Check(); err != nil {
+			return registry.Result{}, err
+		}
+		e.Rev = s.rev
+		s.entries[e.ID] = e
+	}
+	for _, id := range drop {
+		delete(s.entries, id)
+	}
+	return registry.Result{Outcome: registry.Done, Rev: s.rev}, nil
+}
+
+// copies returns the servers that carry the hot key, and those that warm.
+func (s *store) copies() (carry, warm []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.entries[ID(hotKey)].Copies {
+		if c.Share > 0 {
+			carry = append(carry, c.UID)
+		} else {
+			warm = append(warm, c.UID)
+		}
+	}
+	return carry, warm
+}
+
+// waitFor waits until ok, and returns how long it took.
+func waitFor(t *testing.T, most time.Duration, what string, ok func() bool) time.Duration {
+	t.Helper()
+	began := time.Now()
+	for !ok() {
+		if time.Since(began) > most {
+			t.Fatalf("not within %v: %s", most, what)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+// One driver after the other over a stand-in of the list service, on synctest's clock.
+func TestDriver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{entries: map[string]placement.Entry{}, token: 7, down: true}
+		for i := range 60 {
+			s.list.Targets = append(s.list.Targets, registry.Target{UID: fmt.Sprint("s", i), Zone: fmt.Sprint("z", i%3), Pod: i / 4,
+				State: registry.Ready, Capacity: 1})
+		}
+		all, endAll := context.WithCancel(t.Context())
+		reports := collect.New(collect.Options{})
+		var around sync.WaitGroup
+		defer around.Wait()
+		defer endAll()
+		for i := range 30 { // sidecars that each see 300 ms/s of the hot key, of 900
+			around.Go(func() {
+				time.Sleep(time.Duration(i) * time.Second / 30)
+				for ; all.Err() == nil; time.Sleep(time.Second) {
+					s.mu.Lock()
+					rev := s.rev
+					s.mu.Unlock()
+					_ = reports.Take(&placement.Report{Name: fmt.Sprint("car", i), Rev: rev, SpanMS: 1000, HeatAll: 900,
+						Heat: []placement.Heat{{Key: Name(hotKey), Load: 300}}})
+				}
+			})
+		}
+		hold := func(dr *Driver, token uint64) (end func() error) {
+			ctx, stop := context.WithCancelCause(all)
+			ended := make(chan error, 1)
+			around.Go(func() { ended <- dr.Work(ctx, &duty.Lease{Name: Duty, Token: token}) })
+			return func() error { stop(duty.ErrLost); return <-ended }
+		}
+		driver := func() *Driver { return &Driver{Store: s, Reports: reports, Config: Default(1000, 50)} }
+
+		first := driver()
+		if _, err := first.MakeBeforeBreak("s1"); !errors.Is(err, ErrNotHeld) {
+			t.Errorf("unheld: %v", err)
+		}
+		end := hold(first, 7)
+		time.Sleep(3 * time.Second)
+		s.mu.Lock()
+		s.down = false
+		s.mu.Unlock()
+		waitFor(t, 5*time.Second, "copies that carry once writes pass", func() bool { c, _ := s.copies(); return len(c) > 3 })
+		if err := end(); !errors.Is(err, duty.ErrLost) {
+			t.Errorf("ended by %v", err)
+		}
+
+		before, _ := s.copies()
+		s.mu.Lock()
+		s.token = 9
+		s.mu.Unlock()
+		second := driver()
+		endStale, end := hold(driver(), 7), hold(second, 9) // and one that believes it still holds
+		time.Sleep(3 * time.Second)
+		after, _ := s.copies()
+		for _, uid := range before {
+			if !slices.Contains(after, uid) {
+				t.Errorf("%s carries no more after the takeover", uid)
+			}
+		}
+		if endStale(); s.refused == 0 {
+			t.Error("the stale holder wrote nothing: the test shows nothing")
+		}
+		uid := before[0]
+		took := waitFor(t, 25*time.Second, uid+" is emptied", func() bool {
+			ready, err := second.MakeBeforeBreak(uid)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return ready
+		})
+		carry, _ := s.copies()
+		if slices.Contains(carry, uid) || len(carry) < len(before) {
+			t.Errorf("after %v the key is carried by %v, before by %v", took, carry, before)
+		}
+		if rows, err := second.Table(); err != nil || len(rows) != 1 || rows[0].Carrying < len(before) {
+			t.Errorf("%+v, %v", rows, err)
+		}
+		end()
+	})
+}
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -373,7 +373,7 @@
 	t.Run("budget for each key", func(t *testing.T) {
 		hot := func(cfg Config) *world {
 			w := newWorld(t, 1, cfg)
-			w.cfg.Budget = 1500
+			w.cfg.Budget = 0.005
 			for k := range uint64(4) {
 				w.hot[k+1] = 0.12
 			}
@@ -381,9 +381,9 @@
 			return w
 		}
 		cfg := testConfig()
-		cfg.Budget = 1500
+		cfg.Budget, cfg.Least = 0.005, 0
 		hot(cfg).sound("one budget")
-		cfg.Budget = 4 * 1500
+		cfg.Budget = 4 * 0.005
 		if w := hot(cfg); !w.overrun {
 			t.Errorf("not found: %v ms in %v s", w.started, w.now)
 		}
--- a/internal/spread/widen.go
+++ b/internal/spread/widen.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"math"
 	"slices"
+
+	"milldeck/internal/placement"
 )
 
 // widen starts copies while the budgets last. Each goes to the key where it takes most work off servers that have too
@@ -14,7 +16,7 @@
 		own, have float64 // ms/s that all its servers bear
 	}
 	var wants []*want
-	count := d.copies()
+	count := float64(d.copies())
 	for _, k := range d.sorted() {
 		own := k.ownBears(&d.fleet)
 		_, all := k.bears(&d.fleet, &d.cfg)
@@ -23,7 +25,7 @@
 			continue
 		}
 		for _, c := range k.copies { // what still is warm comes back for nothing
-			if c.stage == Cooling && !d.fleet.leaving[c.uid] && w.have < k.need && count < d.cfg.MaxCopies {
+			if c.stage == Cooling && !d.fleet.leaving[c.uid] && w.have < k.need && count < d.mostCopies() {
 				c.stage = Carrying
 				w.have += d.fleet.bears(d.fleet.at[c.uid])
 				k.narrowAt = math.Max(k.narrowAt, now+d.cfg.Hold)
@@ -34,15 +36,18 @@
 	}
 	// gain is what a further copy takes off the key's servers, of what is too much for them.
 	gain := func(w *want) float64 {
-		if w.have >= w.k.need || w.k.count(Warming) >= max(d.cfg.Warmers, w.k.count(Carrying)/2) {
+		if len(w.k.copies) >= placement.MaxCopies || w.have >= w.k.need || w.k.count(Warming) >= max(d.cfg.Warmers, w.k.count(Carrying)/2) {
 			return 0
 		}
 		if w.k.keep > w.have {
 			return math.Inf(1)
 		}
+		if len(w.k.copies) >= widest {
+			return 0
+		}
 		return math.Min(w.k.low-w.k.room*w.have, w.k.low*d.cfg.Bear/(w.have+d.cfg.Bear))
 	}
-	for len(wants) > 0 && d.cold >= d.cfg.ColdWork && d.start >= 1 && count < d.cfg.MaxCopies {
+	for len(wants) > 0 && d.cold >= d.cfg.ColdWork && d.start >= 1 && count < d.mostCopies() {
 		w := slices.MaxFunc(wants, func(a, b *want) int { return cmp.Compare(gain(a), gain(b)) })
 		if gain(w) <= 0 {
 			return
--- a/internal/spread/world_test.go
+++ b/internal/spread/world_test.go
@@ -84,7 +84,7 @@
 	return w
 }
 
-func testConfig() Config { return Default(testBear, testWork, servers) }
+func testConfig() Config { return Default(testBear, testWork) }
 
 // decider begins a new decider, which takes the table over.
 func (w *world) decider() {
@@ -138,7 +138,7 @@
 	if !w.dead && math.Floor(w.now/w.every) > math.Floor(before/w.every) {
 		w.decide()
 	}
-	if most := w.cfg.Budget * (w.now + 1); w.extra > most || w.started > most {
+	if most := w.budget() * (w.now + 1); w.extra > most || w.started > most {
 		w.overrun = true
 	}
 }
@@ -211,6 +211,9 @@
 			w.d.Wrote(f.Drop, w.rev)
 			continue
 		}
+		if err := f.Put.Check(); err != nil {
+			w.t.Errorf("%.2f s: %v", w.now, err)
+		}
 		key, _ := strconv.ParseUint(f.Put.Key, 16, 64)
 		old, was := w.table[key]
 		if !was {
@@ -271,3 +274,5 @@
 	}
 }
 func newSummary(cfg Config) *summary.Summary { return summary.New(64, cfg.Half) }
+
+func (w *world) budget() float64 { return w.cfg.Budget * servers * testBear }
