--- a/internal/spread/decide.go
+++ b/internal/spread/decide.go
@@ -222,7 +222,7 @@
 		if len(d.keys) >= d.cfg.MaxKeys || low <= 0 {
 			return
 		}
-		if d.heat.sums[key].low <= d.cfg.MinRoom*d.fleet.bear { // one server bears it, and all after it
+		if d.heat.sum(key).low <= d.cfg.MinRoom*d.fleet.bear { // one server bears it, and all after it
 			return
 		}
 		k := &spreadKey{key: key}
--- a/internal/spread/heat.go
+++ b/internal/spread/heat.go
@@ -52,8 +52,9 @@
 	names     []string // of them, sorted
 	expected  int      // sidecars that are known of otherwise
 
-	sums map[uint64]*sum
-	keys []uint64 // that may be hot, sorted
+	sums []sum
+	of   map[uint64]int // places in sums
+	keys []uint64       // that may be hot, sorted
 	// all is the load of all keys at most, seen what reports show of it; missing is by what sums of the reports at hand
 	// are to be multiplied.
 	all, seen, missing, floors float64
@@ -67,7 +68,7 @@
 }
 
 func newHeat(half, work float64) heat {
-	return heat{half: half, work: work, reporters: map[string]*reporter{}, sums: map[uint64]*sum{}, missing: 1}
+	return heat{half: half, work: work, reporters: map[string]*reporter{}, of: map[uint64]int{}, missing: 1}
 }
 
 // take keeps a report; false: it is nonsense, or one too many, and tells nothing.
@@ -133,7 +134,8 @@
 		}
 		return gone
 	})
-	clear(h.sums)
+	clear(h.of)
+	h.sums = h.sums[:0]
 	h.all, h.seen, h.floors, h.fresh, h.missing = 0, 0, 0, 0, 1
 	var alls []float64
 	for _, name := range h.names {
@@ -162,11 +164,13 @@
 		h.floors += r.floor
 		fade := math.Exp2(-math.Max(now-r.at-every, 0) / h.half)
 		for _, l := range r.heat {
-			s := h.sums[l.key]
-			if s == nil {
-				s = &sum{}
-				h.sums[l.key] = s
+			at, ok := h.of[l.key]
+			if !ok {
+				at = len(h.sums)
+				h.of[l.key] = at
+				h.sums = append(h.sums, sum{})
 			}
+			s := &h.sums[at]
 			low := l.low * fade
 			s.seen++
 			s.low += low
@@ -181,23 +185,31 @@
 	}
 	h.all *= h.missing
 	h.keys = h.keys[:0]
-	for k, s := range h.sums {
-		if s.seen >= h.witnesses() {
+	for k, at := range h.of {
+		if h.sums[at].seen >= h.witnesses() {
 			h.keys = append(h.keys, k)
 		}
 	}
 	slices.SortFunc(h.keys, func(a, b uint64) int {
-		return cmp.Or(cmp.Compare(h.sums[b].low, h.sums[a].low), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(h.sum(b).low, h.sum(a).low), cmp.Compare(a, b))
 	})
 }
 
+// sum returns a key's sum, nil where no fresh report lists it.
+func (h *heat) sum(key uint64) *sum {
+	if at, ok := h.of[key]; ok {
+		return &h.sums[at]
+	}
+	return nil
+}
+
 // witnesses is how many sidecars have to have met a key.
 func (h *heat) witnesses() int { return max(min(witnesses, h.fresh), 1) }
 
 // low is the least that a key's load surely is: what the reports at hand show, one sidecar's part of it bounded, less
 // what chance may have added. Reports that are missing add nothing.
 func (h *heat) low(key uint64) float64 {
-	s := h.sums[key]
+	s := h.sum(key)
 	if s == nil || s.seen < h.witnesses() {
 		return 0
 	}
@@ -217,7 +229,7 @@
 		return math.Inf(1)
 	}
 	high, unlisted := 0.0, h.floors
-	if s := h.sums[key]; s != nil {
+	if s := h.sum(key); s != nil {
 		high, unlisted = s.high, h.floors-s.floors
 		if h.witnesses() > 1 {
 			high += math.Min(s.maxHigh, s.high-s.maxHigh) - s.maxHigh
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -37,6 +37,7 @@
 }
 
 func TestOnsetToCopiesThatCarry(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(5) {
 		w, carry, _ := onset(t, seed, testConfig(), 4)
 		if carry > 2 {
@@ -113,8 +114,10 @@
 }
 
 func TestNothingIsSpreadInVain(t *testing.T) {
+	t.Parallel()
 	for name := range worlds {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(2) {
 				if !calm(t, name, seed, nil) {
 					t.Errorf("seed %d: spread", seed)
@@ -134,6 +137,7 @@
 }
 
 func TestTrueHotKeysAreFound(t *testing.T) {
+	t.Parallel()
 	for seed, times := range []float64{1.4, 1.7, 2, 4} {
 		if !found(t, uint64(seed), times) {
 			t.Errorf("%v times the brink: not found", times)
@@ -142,6 +146,7 @@
 }
 
 func TestHeatThatMoves(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 1, testConfig())
 	for turn := range 6 { // among three keys, 3 s each
 		key := uint64(turn%3 + 1)
@@ -172,12 +177,14 @@
 }
 
 func TestNoFlapping(t *testing.T) {
+	t.Parallel()
 	if n := flaps(t, testConfig()); n > 30 {
 		t.Errorf("%d copies were begun", n)
 	}
 }
 
 func TestDeciderDiesWhileCopiesWarm(t *testing.T) {
+	t.Parallel()
 	w, _, _ := onset(t, 1, testConfig(), 1.3)
 	if w.d.keys[hotKey] == nil || w.d.keys[hotKey].count(Warming) == 0 {
 		t.Fatal("none is warming")
@@ -210,6 +217,7 @@
 }
 
 func TestHalfOfTheReportsAreLost(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 1, testConfig())
 	w.lost = 0.5
 	w.run(3, nil)
@@ -233,6 +241,7 @@
 
 // A nonsense reporter beside a true hot key neither hides it nor keeps it wide once its heat is over.
 func TestNonsenseBesideHeat(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 3, testConfig())
 	w.twist = func(r *placement.Report) {
 		r.Heat, r.HeatAll = []placement.Heat{{Key: Name(hotKey), Load: 3000}}, 3000
@@ -253,6 +262,7 @@
 
 // All copies of a key that needs few stand on servers that are drained, then lost, while all sidecars restart.
 func TestOnlyWarmCopiesAreDrainedThenLost(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 2, testConfig())
 	w.hot[hotKey] = 1.5 * brink
 	w.run(8, nil)
@@ -303,6 +313,7 @@
 }
 
 func TestLostZoneAndServersKeptOff(t *testing.T) {
+	t.Parallel()
 	w, _, _ := onset(t, 1, testConfig(), 8)
 	zones := map[string]int{}
 	for _, c := range w.table[hotKey].Copies {
@@ -336,10 +347,12 @@
 
 // Each planted bug is found by what tests the rule.
 func TestPlantedBugs(t *testing.T) {
+	t.Parallel()
 	t.Run("widen by the upper bound", func(t *testing.T) {
+		t.Parallel()
 		plant := func(d *Decider) {
 			d.bound = func(k uint64) float64 {
-				if d.heat.sums[k] == nil {
+				if d.heat.sum(k) == nil {
 					return 0
 				}
 				return d.heat.high(k, true)
@@ -350,6 +363,7 @@
 		}
 	})
 	t.Run("no hysteresis", func(t *testing.T) {
+		t.Parallel()
 		cfg := testConfig()
 		cfg.NarrowAt, cfg.Hold, cfg.NarrowEvery, cfg.Cool = 1.3, 0, 0, 0
 		if n := flaps(t, cfg); n <= 30 {
@@ -357,6 +371,7 @@
 		}
 	})
 	t.Run("share before it is warm", func(t *testing.T) {
+		t.Parallel()
 		w := newWorld(t, 1, testConfig())
 		w.wrong = func(d *Decider) {
 			for _, k := range d.keys {
@@ -371,6 +386,7 @@
 		}
 	})
 	t.Run("budget for each key", func(t *testing.T) {
+		t.Parallel()
 		hot := func(cfg Config) *world {
 			w := newWorld(t, 1, cfg)
 			w.cfg.Budget = 0.005
