--- a/cmd/milldeck/spread.go
+++ b/cmd/milldeck/spread.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"text/tabwriter"
@@ -103,7 +104,7 @@
 			slog.Warn("no part in the duty", "error", err)
 			select {
 			case <-ctx.Done():
-			case <-time.After(time.Second):
+			case <-time.After(time.Second/2 + rand.N(time.Second)):
 			}
 		}
 	}()
--- a/internal/spread/decide.go
+++ b/internal/spread/decide.go
@@ -63,20 +63,18 @@
 	return d
 }
 
-// Servers takes the whole list of servers. Copies on those that have restarted or are gone end with the next decision.
+// Servers takes the whole list of servers. Copies on those that are gone, not ready, kept off or have restarted end.
 func (d *Decider) Servers(list []Server) {
 	boots := map[string]float64{}
 	for i := range d.fleet.servers {
 		boots[d.fleet.servers[i].UID] = d.fleet.servers[i].Boot
 	}
 	d.fleet.set(list)
-	for i := range d.fleet.servers {
-		s := &d.fleet.servers[i]
-		if was, ok := boots[s.UID]; ok && was != s.Boot {
-			for _, k := range d.keys {
-				k.drop(s.UID)
-			}
-		}
+	for _, k := range d.keys {
+		k.copies = slices.DeleteFunc(k.copies, func(c *copyOf) bool {
+			i, ok := d.fleet.at[c.uid]
+			return !ok || !d.fleet.usable(i) || d.fleet.servers[i].Boot != boots[c.uid]
+		})
 	}
 }
 
@@ -119,7 +117,8 @@
 		k := &spreadKey{key: key, narrowAt: now + d.cfg.Hold, told: *e, until: float64(e.UntilMS) / 1000}
 		given, carry, little := 0.0, 0, trickle(&d.cfg, e.Copies)
 		for _, c := range e.Copies {
-			if !(c.Share >= 0 && c.Share <= 1) || k.find(c.UID) != nil {
+			i, ok := d.fleet.at[c.UID]
+			if !(c.Share >= 0 && c.Share <= 1) || k.find(c.UID) != nil || !ok || !d.fleet.usable(i) {
 				continue
 			}
 			if given += c.Share; c.Share > 0 {
@@ -129,14 +128,13 @@
 		}
 		own, rest := k.ownBears(&d.fleet), 1-math.Min(d.cfg.Trickles, d.cfg.Trickle*float64(k.count(Warming)-carry))
 		for _, c := range k.copies {
-			i, ok := d.fleet.at[c.uid]
-			if !ok || c.base == 0 {
+			if c.base == 0 {
 				continue
 			}
 			share := c.base
 			c.stage, c.base = Carrying, 1
 			if given < rest && own > 0 { // as entry makes shares of what copies carry
-				c.base = math.Min(share*own/(rest-given)/d.fleet.bears(i), 1)
+				c.base = math.Min(share*own/(rest-given)/d.fleet.bears(d.fleet.at[c.uid]), 1)
 			}
 		}
 		d.keys[key] = k
@@ -188,7 +186,7 @@
 	d.heat.merge(now)
 	for _, k := range d.sorted() {
 		k.credit(&d.fleet, d.heat.witnesses())
-		k.tend(&d.fleet, &d.cfg, now)
+		k.tend(&d.cfg, now)
 	}
 	if d.first > 0 && now >= d.first+wait {
 		d.find(now)
@@ -219,7 +217,7 @@
 		if d.keys[key] != nil {
 			continue
 		}
-		if len(d.keys) >= d.cfg.MaxKeys || low <= 0 {
+		if len(d.keys) >= d.cfg.MaxKeys {
 			return
 		}
 		if d.heat.sum(key).low <= d.cfg.MinRoom*d.fleet.bear { // one server bears it, and all after it
--- a/internal/spread/driver.go
+++ b/internal/spread/driver.go
@@ -223,6 +223,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("spread: the list: %w", err)
 	}
+	if len(list.Targets) == 0 {
+		return nil, errors.New("spread: the list is empty, which tells nothing")
+	}
 	places, err := dr.Store.PlacementView(ctx, fresh)
 	if err != nil {
 		return nil, fmt.Errorf("spread: the placement: %w", err)
--- a/internal/spread/driver_test.go
+++ b/internal/spread/driver_test.go
@@ -11,6 +11,8 @@
 	"testing/synctest"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"milldeck/internal/collect"
 	"milldeck/internal/duty"
 	"milldeck/internal/placement"
@@ -174,3 +176,78 @@
 		end()
 	})
 }
+
+// Whatever comes in whatever order, what is told is valid, on servers that may carry, and within the bounds.
+func TestAnyEvents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := Default(100, 50)
+		cfg.MaxKeys = 3
+		d := newDecider(cfg)
+		now, rev, began := float64(start), uint64(0), map[string]bool{}
+		var list []Server
+		for i := range rapid.IntRange(0, 40).Draw(t, "servers") {
+			list = append(list, Server{UID: fmt.Sprint("s", i), Zone: fmt.Sprint(i % 3), Pod: i / 2, Capacity: 1, Ready: true})
+		}
+		d.Servers(list)
+		table := map[string]placement.Entry{}
+		uid := func() string { return fmt.Sprint("s", rapid.IntRange(0, 41).Draw(t, "uid")) }
+		t.Repeat(map[string]func(*rapid.T){
+			"reports": func(t *rapid.T) {
+				load := rapid.SampledFrom([]float64{0, 10, 100, 1000, 1e9}).Draw(t, "load")
+				key := rapid.Uint64Range(1, 5).Draw(t, "key")
+				for i := range rapid.IntRange(1, 8).Draw(t, "sidecars") {
+					d.Report(now, &placement.Report{Name: fmt.Sprint(i), Rev: rev, HeatAll: load, Heat: []placement.Heat{{Key: Name(key), Load: load}}})
+				}
+			},
+			"server": func(t *rapid.T) {
+				if len(list) > 0 {
+					s := &list[rapid.IntRange(0, len(list)-1).Draw(t, "i")]
+					s.Ready, s.KeptOff = rapid.Bool().Draw(t, "ready"), rapid.Bool().Draw(t, "kept off")
+					s.Choked, s.Boot = rapid.Bool().Draw(t, "choked"), float64(rapid.IntRange(0, 1).Draw(t, "boot"))
+				}
+				d.Servers(list)
+			},
+			"lost":  func(t *rapid.T) { list = list[:len(list)*3/4]; d.Servers(list) },
+			"leave": func(*rapid.T) { u := uid(); d.Leave(u); d.May(u) },
+			"stay":  func(*rapid.T) { d.Stay(uid()) },
+			"successor": func(*rapid.T) {
+				d = newDecider(cfg)
+				d.Servers(list)
+				d.Resume(now, slices.Collect(maps.Values(table)))
+			},
+			"decide": func(t *rapid.T) {
+				now += rapid.SampledFrom([]float64{0.25, 0.25, 1, 5}).Draw(t, "s")
+				lost := rapid.IntRange(0, 3).Draw(t, "write") == 0
+				for _, f := range d.Decide(now) {
+					if f.Put == nil {
+						delete(table, f.Drop)
+						d.Wrote(f.Drop, rev)
+						continue
+					}
+					if err := f.Put.Check(); err != nil {
+						t.Fatal(err)
+					}
+					sum := 0.0
+					for _, c := range f.Put.Copies {
+						if i := slices.IndexFunc(list, func(s Server) bool { return s.UID == c.UID }); i < 0 || !list[i].Ready || list[i].KeptOff {
+							t.Fatalf("a copy on %s", c.UID)
+						}
+						sum += c.Share
+						began[f.Put.ID+c.UID] = true
+					}
+					if sum > 1.0001 || len(d.keys) > 3 {
+						t.Fatalf("shares of %v, %d keys", sum, len(d.keys))
+					}
+					if !lost {
+						rev++
+						table[f.Put.ID] = *f.Put
+						d.Wrote(f.Put.ID, rev)
+					}
+				}
+				if most := (now - start + 1) * max(cfg.Least, cfg.Budget*4000); float64(len(began))*cfg.ColdWork > most+1 {
+					t.Fatalf("%d copies were begun in %v s", len(began), now-start)
+				}
+			},
+		})
+	})
+}
--- a/internal/spread/heat.go
+++ b/internal/spread/heat.go
@@ -135,7 +135,7 @@
 		return gone
 	})
 	clear(h.of)
-	h.sums = h.sums[:0]
+	h.sums, h.keys = h.sums[:0], h.keys[:0]
 	h.all, h.seen, h.floors, h.fresh, h.missing = 0, 0, 0, 0, 1
 	var alls []float64
 	for _, name := range h.names {
@@ -184,7 +184,6 @@
 		h.missing = math.Max(float64(max(h.expected, len(h.names)))/float64(h.fresh), 1)
 	}
 	h.all *= h.missing
-	h.keys = h.keys[:0]
 	for k, at := range h.of {
 		if h.sums[at].seen >= h.witnesses() {
 			h.keys = append(h.keys, k)
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -161,6 +161,15 @@
 	if w.firsts > 3*130 || w.widened[1] > 1 {
 		t.Errorf("%d copies were begun, %d times for the first key: what was warm is not used again", w.firsts, w.widened[1])
 	}
+	for key := range uint64(8) { // and to ever new ones
+		clear(w.hot)
+		w.hot[key+100] = 0.3
+		w.run(3, nil)
+		if _, copies := w.carried(key + 100); copies < 10 {
+			t.Errorf("new key %d: %d copies carry", key, copies)
+		}
+	}
+	w.sound("moves on")
 	clear(w.hot)
 	w.run(60, func() bool { return len(w.table) == 0 })
 	if len(w.table) != 0 {
@@ -244,9 +253,13 @@
 	t.Parallel()
 	w := newWorld(t, few, 3, testConfig())
 	w.twist = func(r *placement.Report) {
-		r.Heat, r.HeatAll = []placement.Heat{{Key: Name(hotKey), Load: 3000}}, 3000
+		r.Heat, r.HeatAll = []placement.Heat{{Key: Name(hotKey), Load: 3000}, {Key: Name(1<<32 + 1), Load: 12000}}, 15000
 	}
 	w.run(2, nil)
+	w.hot[hotKey] = 1.5 * brink
+	if w.run(6, nil); w.widened[hotKey] == 0 {
+		t.Error("what the one says of another key hides this")
+	}
 	w.hot[hotKey] = 0.3
 	w.run(6, nil)
 	if _, n := w.carried(hotKey); n < 30 || n > 110 {
--- a/internal/spread/table.go
+++ b/internal/spread/table.go
@@ -129,7 +129,7 @@
 		return
 	}
 	for _, c := range k.copies {
-		if i, ok := f.at[c.uid]; !ok || !f.usable(i) || f.servers[i].Choked || c.rev == 0 {
+		if f.servers[f.at[c.uid]].Choked || c.rev == 0 {
 			continue
 		}
 		all, most := 0.0, 0.0
@@ -152,14 +152,9 @@
 	k.shown = k.shown[:0]
 }
 
-// tend moves copies on: those whose servers are gone are gone, those that answered enough carry, those that have cooled
-// are dropped.
-func (k *spreadKey) tend(f *fleet, cfg *Config, now float64) {
+// tend moves copies on: those that answered enough carry, those that have cooled or do not warm are dropped.
+func (k *spreadKey) tend(cfg *Config, now float64) {
 	k.copies = slices.DeleteFunc(k.copies, func(c *copyOf) bool {
-		i, ok := f.at[c.uid]
-		if !ok || !f.usable(i) {
-			return true
-		}
 		if c.stage == Warming && (c.answered >= cfg.Warm || c.base > 0) {
 			c.stage = Carrying
 		}
