Lab: hot phases, the spreader of hot keys in sim, judged by what servers run

Need: the spreader was tried with a plain model of sidecars only.

The change: a phase "hot", a table [spread] that has lab sim play reports, decider and placement around the module, faults of them, a rule spread and figures.

--- a/cmd/milldeck/lab.go
+++ b/cmd/milldeck/lab.go
@@ -95,11 +95,13 @@
 type draws struct {
 	seed    uint64
 	without []string
+	spreadFlags
 }
 
 func (d *draws) flags(c *cobra.Command) {
 	c.Flags().Uint64Var(&d.seed, "seed", 0, "draw the experiment from this seed in place of the file's")
 	c.Flags().StringSliceVar(&d.without, "without", nil, "leave out faults of these kinds")
+	d.spreadFlags.flags(c)
 }
 
 // plan reads an experiment and draws its plan.
@@ -114,6 +116,9 @@
 		}
 		f.Faults = slices.DeleteFunc(f.Faults, func(ft lab.FaultFile) bool { return ft.Kind == kind })
 	}
+	if f, err = d.of(f); err != nil {
+		return nil, err
+	}
 	return f.Draw(d.seed), nil
 }
 
@@ -215,6 +220,9 @@
 
 // play plays a plan with real processes.
 func (l *liveFlags) play(ctx context.Context, p *lab.Plan, progress func(live.Progress)) (*lab.Result, error) {
+	if p.File.Spread != nil {
+		return nil, usageError{errors.New("[spread] is played by lab sim alone")}
+	}
 	self, err := os.Executable()
 	if err != nil {
 		return nil, err
@@ -344,11 +352,13 @@
 // many are the flags of what is played on many seeds, in either mode.
 type many struct {
 	liveFlags
+	spreadFlags
 	seeds, mode, policy string
 }
 
 func (m *many) flags(c *cobra.Command) {
 	m.liveFlags.flags(c)
+	m.spreadFlags.flags(c)
 	c.Flags().StringVar(&m.seeds, "seeds", "1-10", "seeds, as 1-20 or 3,5,8")
 	c.Flags().StringVar(&m.mode, "mode", "sim", "sim or run")
 	c.Flags().StringVar(&m.policy, "policy", sim.Module, "in sim, what decides")
@@ -378,6 +388,9 @@
 		return nil, nil, nil, usageError{fmt.Errorf("--mode %s: not sim or run", m.mode)}
 	}
 	f, err := lab.Load(path)
+	if err == nil {
+		f, err = m.of(f)
+	}
 	return f, list, play, err
 }
 
--- a/internal/lab/clients.go
+++ b/internal/lab/clients.go
@@ -131,7 +131,10 @@
 	}
 	if len(a.keys) > 0 {
 		u := a.rng.Float64() * a.keys[len(a.keys)-1]
-		out.Key = hash(streamArrivals, uint64(sort.SearchFloat64s(a.keys, u))) | 1
+		out.Key = keyOf(sort.SearchFloat64s(a.keys, u))
+		if h := a.plan.hot(a.now); h != nil && a.rng.Float64() < h.part {
+			out.Key = h.keys[a.rng.IntN(len(h.keys))]
+		}
 	}
 	return out
 }
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -34,6 +34,9 @@
 	RegistryDown  FaultKind = "registry-down"  // all replicas of the list service are killed, and started again
 	Roll          FaultKind = "roll"           // Target, Share, Steps, Reuse: servers are replaced by new ones, cold
 	Descriptors   FaultKind = "descriptors"    // Target, Share: idle connections fill the sidecars' descriptors
+	DeciderDown   FaultKind = "decider-down"   // nobody decides which keys are spread; its successor goes on from the placement
+	ReportsLost   FaultKind = "reports-lost"   // Part: so many of the sidecars' reports are lost
+	ReportsLie    FaultKind = "reports-lie"    // Target, Share: sidecars report heat of keys that nobody asks for
 )
 
 // who says which parties a kind of fault can befall.
@@ -59,6 +62,7 @@
 	Refused: {servers, "for"}, ResetUnder: {servers, "for part"}, Spoilt: {servers, "for part"},
 	Cut: {links, "for"}, Delay: {links, "for ms"}, Loss: {links, "for part"}, ZoneLost: {zones, "for"},
 	DiscoveryDown: {nobody, "for"}, DiscoveryLate: {nobody, "for ms"}, DiscoveryBad: {nobody, "for share"},
+	DeciderDown: {nobody, "for"}, ReportsLost: {nobody, "for part"}, ReportsLie: {sidecars, "for"},
 	RegistryDown: {nobody, "for"}, Roll: {servers, "for"}, Descriptors: {sidecars, "for"},
 }
 
@@ -109,6 +113,8 @@
 	}
 	own := file.Discovery.Source == "registry"
 	switch kind := FaultKind(f.Kind); {
+	case OfSpreader(kind) && (file.Spread == nil || !file.Spread.On):
+		bad(at+".kind", "%s needs [spread] with on = true", f.Kind)
 	case kind == RegistryDown && !own:
 		bad(at+".kind", "%s needs discovery.source = \"registry\"", f.Kind)
 	case own && (kind == Cut || kind == DiscoveryDown || kind == DiscoveryLate || kind == DiscoveryBad):
--- a/internal/lab/file.go
+++ b/internal/lab/file.go
@@ -61,6 +61,7 @@
 	Classes   []ClassFile   `toml:"class"`
 	Phases    []PhaseFile   `toml:"phase"`
 	Faults    []FaultFile   `toml:"fault"`
+	Spread    *SpreadFile   `toml:"spread"` // nil: no figures of hot keys, and nobody spreads them
 }
 
 // NetworkFile holds one-way delays.
@@ -173,13 +174,17 @@
 
 // PhaseFile is a stretch of load. The last one lasts to the end.
 type PhaseFile struct {
-	Kind string  `toml:"kind"` // "steady", "ramp" (to another rate), "burst" (times the rate), "shift" (to a zone)
+	Kind string `toml:"kind"` // "steady", "ramp" (to another rate), "burst" (times the rate), "shift" (to a zone),
+	// "hot" (part of the requests are for a few keys that were rare before)
 	ForS float64 `toml:"for_s"`
 	Rate float64 `toml:"rate"` // requests a second over the fleet; 0: as before
 	To   float64 `toml:"to"`   // ramp: the rate at its end
 	By   float64 `toml:"by"`   // burst: factor
 	Zone string  `toml:"zone"` // shift: where the traffic goes
-	Part float64 `toml:"part"` // shift: part of the other zones' traffic that goes there at its end
+	Part float64 `toml:"part"` // shift: part of the other zones' traffic that goes there at its end; hot: of all requests
+
+	Hot   int     `toml:"hot"`    // hot: how many keys share the part evenly; 0: one
+	MoveS float64 `toml:"move_s"` // hot: after so long other keys are hot; 0: they stay
 }
 
 // FaultFile is one fault. Which fields a kind wants is said at its entry in faultKinds.
@@ -309,6 +314,7 @@
 	f.checkServers(bad, inside, within)
 	f.checkClasses(bad, inside, within)
 	f.checkPhases(bad, inside)
+	f.checkSpread(bad, inside, within)
 	for i := range f.Faults {
 		f.Faults[i].check(f, fmt.Sprintf("fault[%d]", i), bad)
 	}
@@ -450,6 +456,9 @@
 			inside(at+"for_s", p.ForS, 0.001, maxDurationS)
 		}
 		sum += p.ForS
+		if p.Kind != "hot" && (p.Hot != 0 || p.MoveS != 0) {
+			bad(at+"kind", "hot and move_s are of kind \"hot\" alone, not of %q", p.Kind)
+		}
 		switch p.Kind {
 		case "steady":
 		case "ramp":
@@ -463,8 +472,10 @@
 			if f.zone(p.Zone) < 0 {
 				bad(at+"zone", "unknown zone %q", p.Zone)
 			}
+		case "hot":
+			f.checkHot(p, at, bad, inside)
 		default:
-			bad(at+"kind", "%q is not steady, ramp, burst or shift", p.Kind)
+			bad(at+"kind", "%q is not steady, ramp, burst, shift or hot", p.Kind)
 		}
 	}
 	if sum > f.DurationS {
--- a/internal/lab/judge.go
+++ b/internal/lab/judge.go
@@ -23,10 +23,11 @@
 	RuleForeign  Rule = "foreign"  // an answer belongs to its request and was made by a server
 	RuleUnknown  Rule = "unknown"  // no request that no client sent
 	RuleCrash    Rule = "crash"    // a sidecar ends only when it is told to
+	RuleSpread   Rule = "spread"   // no more cold work than its budget
 )
 
 // Rules lists them in the order of reports.
-var Rules = []Rule{RuleAnswer, RuleTwice, RuleParallel, RuleDrain, RuleCold, RuleForeign, RuleUnknown, RuleCrash}
+var Rules = []Rule{RuleAnswer, RuleTwice, RuleParallel, RuleDrain, RuleCold, RuleForeign, RuleUnknown, RuleCrash, RuleSpread}
 
 // Broken is a broken rule with the whole story of its request.
 type Broken struct {
--- a/internal/lab/measure.go
+++ b/internal/lab/measure.go
@@ -211,6 +211,8 @@
 	WindowMS    float64        `json:"window_ms"`
 	Windows     []Window       `json:"windows"`
 	Faults      []FaultMark    `json:"faults"`
+
+	Figures map[string]float64 `json:"figures,omitempty"` // of a part of the program that the experiment is about
 }
 
 // ClassResult is a class's part.
--- a/internal/lab/plan.go
+++ b/internal/lab/plan.go
@@ -21,6 +21,8 @@
 	Sidecars []SidecarPlan
 	Classes  []ClassPlan
 	Faults   []Fault
+
+	hots []hotTime // in order of time
 }
 
 // ServerPlan is one server, of which those that come by a roll are born later.
@@ -62,6 +64,7 @@
 	streamFaults
 	streamArrivals
 	streamNetwork
+	streamHot
 )
 
 func (p *Plan) rng(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(p.Seed, stream)) }
@@ -86,6 +89,7 @@
 		sum += k.Share
 		p.Classes = append(p.Classes, ClassPlan{ClassFile: k, Effect: effects[k.Effect], Group: groups[k.Group], share: sum})
 	}
+	p.drawHot()
 	rng := p.rng(streamFaults)
 	for i := range f.Faults {
 		fault := f.Faults[i].resolve(p, rng)
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -17,6 +17,8 @@
 	Work     float64 // ms on a standard core
 	Expires  float64 // waiting work is dropped then; 0: never
 	Informed bool    // its sender had been told of this server's start
+	Tenant   string  // whose it is; "": nobody's
+	Fails    bool    // at once, as a harmful version has it
 }
 
 // Ending is how a job ended at its server.
@@ -35,6 +37,8 @@
 	How    Ending
 	Effect bool // it had its effect, and was no repeat
 	At     float64
+	Took   float64 // ms on a standard core
+	Met    bool    // its key was warm here, or it has none
 }
 
 const (
@@ -52,7 +56,7 @@
 
 	seed    uint64
 	rules   *RulesFile
-	stores  *Stores
+	stores  Effects
 	classes []ClassPlan
 
 	started float64 // of its warm-up
@@ -75,6 +79,8 @@
 	// or noise; Silent has it take requests and say nothing. The last three are for whoever sends its answers.
 	Slow, Errors, Resets, Spoils float64
 	Silent                       bool
+
+	Knows map[uint64]bool // keys that are always warm here; nil: none
 }
 
 type ending struct {
@@ -82,6 +88,8 @@
 	job    Job
 	how    Ending
 	effect bool
+	took   float64
+	met    bool
 }
 
 type warmKey struct {
@@ -96,7 +104,7 @@
 }
 
 // NewServer makes the model of a server that is up and warm.
-func NewServer(p *Plan, n int, stores *Stores) *Server {
+func NewServer(p *Plan, n int, stores Effects) *Server {
 	s := &Server{
 		Plan: &p.Servers[n], seed: hash(p.Seed, streamServers, uint64(n)), rules: &p.File.Rules, stores: stores,
 		classes: p.Classes,
@@ -218,24 +226,27 @@
 
 // run gives a job a core.
 func (s *Server) run(now float64, j Job) {
-	e := ending{job: j}
+	e := ending{job: j, met: true}
 	work := j.Work
 	fails := chance(s.seed, j.Request, uint64(j.Attempt))
 	switch {
 	case j.Attempt == 0:
-	case fails < s.Errors:
+	case j.Fails || fails < s.Errors:
 		e.how, work = Errored, errorWork
-	case s.classes[j.Class].Effect == balance.Keyed && s.stores.seen(now, s.Plan, &s.classes[j.Class], j.Class, j.Effect):
+	case s.classes[j.Class].Effect == balance.Keyed && s.stores.Seen(now, s.Plan, &s.classes[j.Class], j.Class, j.Effect):
 		work = errorWork // the answer to a repeat is at hand
 	default:
 		if fails < s.Errors+s.Plan.Kind.ErrorRate {
 			e.how = Errored // it runs whole and fails at the end
 		}
 		e.effect = true
-		if j.Key != 0 && s.Plan.Kind.WarmGain > 0 && s.meet(now, j.Key) {
-			work *= 1 - s.Plan.Kind.WarmGain
+		if j.Key != 0 && s.Plan.Kind.WarmGain > 0 {
+			if e.met = s.meet(now, j.Key); e.met {
+				work *= 1 - s.Plan.Kind.WarmGain
+			}
 		}
 	}
+	e.took = work
 	e.at = now + work/s.speed(now)
 	s.push(e)
 }
@@ -246,6 +257,9 @@
 	for len(s.order) > 0 && (now > s.order[0].at+k.WarmMS || len(s.order) > 2*max(k.WarmKeys, 1)) {
 		s.drop()
 	}
+	if s.Knows[key] {
+		return true
+	}
 	at, known := s.warm[key]
 	s.warm[key] = now
 	s.order = append(s.order, warmKey{key, now})
@@ -288,7 +302,7 @@
 		}
 		s.mood(at)
 		if e.job.Attempt != 0 {
-			ended(Ended{Job: e.job, How: e.how, Effect: e.effect, At: at})
+			ended(Ended{Job: e.job, How: e.how, Effect: e.effect, At: at, Took: e.took, Met: e.met})
 		}
 	}
 	s.mood(now)
@@ -374,6 +388,12 @@
 	return top
 }
 
+// Effects is what a server asks for the effects that its group has had; Stores is it where all servers are in one
+// process.
+type Effects interface {
+	Seen(now float64, s *ServerPlan, class *ClassPlan, number int, effect uint64) bool
+}
+
 // Stores is what groups of servers remember of the effects that they had, each for the window of its class.
 // Servers use them concurrently.
 type Stores struct {
@@ -393,8 +413,9 @@
 // NewStores makes empty ones.
 func NewStores() *Stores { return &Stores{of: map[storeKey]*store{}} }
 
-// seen tells whether the group of a server has had an effect within the window, and remembers it.
-func (m *Stores) seen(now float64, s *ServerPlan, class *ClassPlan, number int, effect uint64) bool {
+// Seen tells whether the group of a server has had an effect within the window, and remembers it. The number is the
+// class's.
+func (m *Stores) Seen(now float64, s *ServerPlan, class *ClassPlan, number int, effect uint64) bool {
 	key := storeKey{class: number}
 	switch class.ClassFile.Group {
 	case "zone":
--- a/internal/lab/sim/client.go
+++ b/internal/lab/sim/client.go
@@ -36,12 +36,17 @@
 	n.tries[t.id] = t
 	e.judge.Asked(now, t.id, n.n, c.Class, timeout)
 	e.at(now+clientDelay, func(float64) {
-		if !t.over && n.tries[t.id] == t {
-			n.deliver(balance.Request{
-				ID: balance.RequestID(t.id), Class: c.Class, Tenant: -1, WorkHint: c.Hint, Key: c.Key, Remaining: timeout,
-				Repeat: c.tries > 1, Write: e.plan.Classes[c.Class].Effect != balance.Safe,
-			})
+		if t.over || n.tries[t.id] != t {
+			return
+		}
+		r := balance.Request{
+			ID: balance.RequestID(t.id), Class: c.Class, Tenant: -1, WorkHint: c.Hint, Key: c.Key, Remaining: timeout,
+			Repeat: c.tries > 1, Write: e.plan.Classes[c.Class].Effect != balance.Safe,
 		}
+		if e.spread != nil {
+			e.spread.asked(e.now, n, &r)
+		}
+		n.deliver(r)
 	})
 	e.at(t.deadline+e.plan.File.Rules.AnswerSlackMS+slackTicks*e.tick+2*clientDelay, func(now float64) {
 		if t.gone {
@@ -81,5 +86,8 @@
 func (c *client) finish(now float64, how lab.Answer, left bool) {
 	c.done = true
 	c.e.open--
+	if s := c.e.spread; s != nil {
+		s.judge.Done(&c.Arrival, how, left, now)
+	}
 	c.e.measure.Done(&c.Arrival, c.tries, how, left, now)
 }
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -82,6 +82,8 @@
 		}
 	case lab.DiscoveryLate:
 		e.late += f.MS
+	case lab.DeciderDown, lab.ReportsLost, lab.ReportsLie:
+		e.spread.fault(now, f, true)
 	}
 }
 
@@ -146,6 +148,8 @@
 		e.down = false
 	case lab.DiscoveryLate:
 		e.late -= f.MS
+	case lab.DeciderDown, lab.ReportsLost, lab.ReportsLie:
+		e.spread.fault(now, f, false)
 	}
 	for _, n := range e.nodes {
 		if e.plan.File.Discovery.Mode != "subscribe" || n.subscribed {
--- a/internal/lab/sim/host.go
+++ b/internal/lab/sim/host.go
@@ -128,6 +128,9 @@
 // ended: a job has ended; its answer, if it gets that far, goes back.
 func (h *host) ended(now float64, end lab.Ended) {
 	e := h.e
+	if e.spread != nil {
+		e.spread.judge.Ran(h.n, &end)
+	}
 	if end.How != lab.Expired {
 		e.judge.Ran(end.At, end.Request, h.n, end.Effect)
 	}
--- a/internal/lab/sim/node.go
+++ b/internal/lab/sim/node.go
@@ -88,6 +88,9 @@
 		return
 	}
 	n.up, n.closed, n.frozen = true, false, false
+	if n.e.spread != nil {
+		n.e.spread.started(n)
+	}
 	n.keep(n.inst.Start(now))
 	n.deliver(n.list(balance.ListCached))
 	n.activate()
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -65,6 +65,9 @@
 	}
 	r := e.measure.Result("sim", e.opts.Policy, e.judge)
 	r.Cut = ctx.Err() != nil
+	if e.spread != nil {
+		r.Figures = e.spread.judge.Figures()
+	}
 	return r, Stats{Events: e.events, Elapsed: time.Since(began)}, nil
 }
 
@@ -92,6 +95,7 @@
 	more    bool
 	active  []*node
 	failure error
+	spread  *spreader // nil: the experiment is not about hot keys
 }
 
 func newEngine(p *lab.Plan, opts Options) *engine {
@@ -128,6 +132,12 @@
 
 // play runs the events of the world and, tick by tick, the instances that have any.
 func (e *engine) play(ctx context.Context) error {
+	if e.plan.File.Spread != nil {
+		var err error
+		if e.spread, err = newSpreader(e); err != nil {
+			return err
+		}
+	}
 	for i := range e.plan.Sidecars {
 		n := &node{e: e, n: i, plan: &e.plan.Sidecars[i], view: map[int]seen{}, tries: map[uint64]*try{}, idle: map[int][]float64{}}
 		e.nodes = append(e.nodes, n)
@@ -138,6 +148,9 @@
 		}
 		n.start(0)
 	}
+	if e.spread != nil {
+		e.spread.begin()
+	}
 	e.scheduleRolls()
 	for i := range e.plan.Faults {
 		e.scheduleFault(&e.plan.Faults[i])
