Duties: the judge compares beliefs at their source, and the benchmark always ends

duty bench ended with a stack trace (judge met the release of a tenure that was never taken up: nil pointer), hung (it waited for a line of a holder that had lost its duty before it began) and told overlaps that were none (released was stamped when its answer came; the next had begun by then, 1 to 3 ms earlier, seen in kept logs).

Events carry when a step came to be; stopped is new, before the release is sent; holders print all times on the machine's monotonic clock. A lease whose first answer comes too late is not worked on, and nothing is asked between taking a duty up and working.

--- a/cmd/milldeck/duty.go
+++ b/cmd/milldeck/duty.go
@@ -15,6 +15,7 @@
 	"github.com/spf13/cobra"
 
 	"milldeck/internal/duty"
+	"milldeck/internal/duty/clock"
 	"milldeck/internal/duty/table"
 	"milldeck/internal/registry"
 )
@@ -35,12 +36,14 @@
 func newHold() *cobra.Command {
 	var opts duty.Options
 	var save time.Duration
+	var wrong string
 	a := &asking{}
 	c := &cobra.Command{
 		Use:   "hold NAME...",
 		Short: "Waits for duties and holds them until SIGTERM",
 		Long: "hold waits for duties, holds each until an interrupt and releases it. It prints a JSON line for each step: waiting,\n" +
-			"acquired, renewed, asked, lost, released, with token and times. After a loss it seeks the duty again.\n\n" + exitHelp,
+			"acquired, renewed, asked, lost, stopped, released, with token and times; those in ns are of the machine's monotonic\n" +
+			"clock. After a loss it seeks the duty again.\n\n" + exitHelp,
 		Example: "  milldeck duty hold backup --ttl 5s\n  milldeck duty hold backup --once",
 		Args: func(_ *cobra.Command, args []string) error {
 			if len(args) == 0 {
@@ -52,13 +55,18 @@
 			if ttl := opts.TTL.Milliseconds(); ttl < table.MinTTLMS || ttl > table.MaxTTLMS {
 				return usageError{fmt.Errorf("--ttl: %v is not within %d ms to %d ms", opts.TTL, table.MinTTLMS, table.MaxTTLMS)}
 			}
+			clk, err := clock.Parse(wrong)
+			if err != nil {
+				return usageError{fmt.Errorf("--clock: %w", err)}
+			}
 			client, err := registry.NewClient(a.replicas)
 			if err != nil {
 				return usageError{fmt.Errorf("--replicas: %w", err)}
 			}
 			defer client.Close()
+			opts.Clock = clk
 			out := &lines{enc: json.NewEncoder(c.OutOrStdout())}
-			opts.Events = func(e duty.Event) { out.print(e) }
+			opts.Events = func(e duty.Event) { out.print(step{e, clk.NS(e.At), clk.NS(e.Until)}) }
 			ended := make(chan error, len(args))
 			for _, name := range args {
 				go func() {
@@ -83,9 +91,18 @@
 	c.Flags().DurationVar(&opts.TTL, "ttl", duty.DefaultTTL, "lease, where this candidate is the duty's first")
 	c.Flags().BoolVar(&opts.Once, "once", false, "end after the first tenure, however it ended")
 	c.Flags().DurationVar(&save, "save-every", 0, "count up in the duty's checkpoint so often, as a trial of its guard; 0: never")
+	c.Flags().StringVar(&wrong, "clock", "", `a fault of this process's clock, for trials: "rate=0.9" or "jump=1h/300ms"`)
+	_ = c.Flags().MarkHidden("clock") // there is such a flag
 	return c
 }
 
+// step is an event with its times on the clock that all processes of the machine share: what a judge compares.
+type step struct {
+	duty.Event
+	AtNS    int64 `json:"at_ns"`
+	UntilNS int64 `json:"until_ns,omitempty"`
+}
+
 // lines prints JSON lines, one at a time.
 type lines struct {
 	mu  sync.Mutex
--- a/internal/duty/bench/bench.go
+++ b/internal/duty/bench/bench.go
@@ -1,21 +1,13 @@
 // Package bench plays duties with processes of the program, kills, freezes and stops their holders, and judges from
-// what the processes print whether ever two held one duty.
+// what the processes print whether ever two held one duty. They print when they began and ceased to believe, on the clock
+// that all of them share; when a line came to be printed does not matter.
 package bench
 
 import (
-	"bufio"
-	"bytes"
-	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"math/rand/v2"
-	"os"
-	"path/filepath"
-	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"milldeck/internal/duty/table"
@@ -37,24 +29,31 @@
 	Save        time.Duration // how often a holder writes under its token
 	LeaderEvery time.Duration // a registry leader is killed so often and started again; 0: never
 	Freeze      bool          // holders are frozen past their leases as well
+	Clocks      []string      // faults of the candidates' clocks in turn, as clock.Parse reads them; none: all are right
 	Queues      []int         // candidates of a duty whose handovers are counted in log writes
 	Renewing    int           // duties of one holder that are renewed together; 0: not measured
 
+	// For is how long harm is done at most, where the machine is too slow for all faults; 0: until they are done.
+	For time.Duration
+	// Limit bounds the whole play: beyond it, it has failed. 0: the caller's context alone does.
+	Limit time.Duration
+
 	Progress func(string)
 }
 
-// Quick is what ends within a minute.
+// Quick takes about 20 s on a machine of its own and ends within two minutes on any.
 func Quick() Options {
 	return Options{
 		Seed: 1, Replicas: 3, Duties: 24, Faults: 504, TTL: 500 * time.Millisecond, Save: 20 * time.Millisecond,
 		LeaderEvery: 5 * time.Second, Freeze: true, Queues: []int{5, 50, 500}, Renewing: 1000,
+		For: 45 * time.Second, Limit: 2 * time.Minute,
 	}
 }
 
 // Full is four times as much.
 func Full() Options {
 	o := Quick()
-	o.Faults *= 4
+	o.Faults, o.For, o.Limit = 4*o.Faults, 4*o.For, 4*o.Limit
 	return o
 }
 
@@ -67,10 +66,12 @@
 	LeaderKills int `json:"leader_kills"`
 
 	Tenures     int      `json:"tenures"`
-	Overlaps    int      `json:"overlaps"` // pairs of tenures of one duty that meet in time
-	Saves       int      `json:"saves"`    // writes under a token
-	Refused     int      `json:"refused"`  // ... that came too late and were refused
-	Twice       int      `json:"twice"`    // ... that took effect twice, or after those of a later token
+	Overlaps    int      `json:"overlaps"`  // pairs of tenures of one duty in which two believed at a time
+	ToldLate    int      `json:"told_late"` // releases that were heard of after the next had begun: no overlap
+	NotTaken    int      `json:"not_taken"` // times that a duty was given and its lease was over before it was known to run
+	Saves       int      `json:"saves"`     // writes under a token
+	Refused     int      `json:"refused"`   // ... that came too late and were refused
+	Twice       int      `json:"twice"`     // ... that took effect twice, or after those of a later token
 	Broken      []string `json:"broken,omitempty"`
 	ReleaseGap  []gap    `json:"-"`
 	KillGap     []gap    `json:"-"`
@@ -96,17 +97,6 @@
 	leaderless bool
 }
 
-// event is a line that a holder prints.
-type event struct {
-	What  string    `json:"what"`
-	Duty  string    `json:"duty"`
-	Who   string    `json:"who"`
-	Token uint64    `json:"token"`
-	At    time.Time `json:"at"`
-	Until time.Time `json:"until"`
-	Count int       `json:"count"`
-}
-
 type play struct {
 	opts    Options
 	cluster *cluster.Cluster
@@ -115,14 +105,30 @@
 	mu    sync.Mutex
 	left  int
 	r     *Result
-	ended map[string]time.Time // of processes that were killed
-	asked map[string]time.Time // when a process was told to end, or killed: its gap begins
-	down  []time.Time          // when registry leaders were killed
+	ended map[string]int64 // when processes were killed, as all times here in ns of the machine's clock
+	asked map[string]int64 // when a process was told to end, or killed: its gap begins
+	down  []int64          // when registry leaders were killed
 }
 
 // Run plays it.
 func Run(ctx context.Context, o Options) (*Result, error) {
 	began := time.Now()
+	if o.Limit > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeoutCause(ctx, o.Limit, fmt.Errorf("not over after %v", o.Limit))
+		defer cancel()
+	}
+	r, err := run(ctx, o)
+	if cause := context.Cause(ctx); err != nil && cause != nil && !errors.Is(err, cause) {
+		return nil, fmt.Errorf("%w: %w", cause, err)
+	} else if err != nil {
+		return nil, err
+	}
+	r.Seconds = time.Since(began).Seconds()
+	return r, nil
+}
+
+func run(ctx context.Context, o Options) (*Result, error) {
 	block, err := proc.TakeBlock()
 	if err != nil {
 		return nil, err
@@ -140,7 +146,7 @@
 	defer client.Close()
 	p := &play{
 		opts: o, cluster: c, client: client, left: o.Faults, r: &Result{TTLMS: o.TTL.Milliseconds()},
-		ended: map[string]time.Time{}, asked: map[string]time.Time{},
+		ended: map[string]int64{}, asked: map[string]int64{},
 	}
 	if err := p.figures(ctx); err != nil {
 		return nil, err
@@ -151,7 +157,6 @@
 	if err := p.judge(); err != nil {
 		return nil, err
 	}
-	p.r.Seconds = time.Since(began).Seconds()
 	return p.r, nil
 }
 
@@ -222,318 +227,3 @@
 	p.say("%.0f renewals a second", p.r.RenewalsSec)
 	return nil
 }
-
-// faults harms the holders of all duties until enough was done.
-func (p *play) faults(ctx context.Context) error {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	var duties, around sync.WaitGroup
-	if p.opts.LeaderEvery > 0 {
-		around.Go(func() {
-			if err := p.leaders(ctx); err != nil {
-				cancel(err)
-			}
-		})
-	}
-	for i := range p.opts.Duties {
-		duties.Go(func() {
-			if err := p.duty(ctx, i); err != nil {
-				cancel(err)
-			}
-		})
-	}
-	duties.Wait()
-	err := context.Cause(ctx)
-	cancel(nil)
-	around.Wait()
-	return err
-}
-
-// leaders kills a registry leader now and then.
-func (p *play) leaders(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-time.After(p.opts.LeaderEvery):
-		}
-		r, err := p.cluster.Leader(ctx)
-		if ctx.Err() != nil {
-			return nil
-		} else if err != nil {
-			return err
-		}
-		p.mu.Lock()
-		p.down = append(p.down, time.Now())
-		p.r.LeaderKills++
-		p.mu.Unlock()
-		r.Proc.Kill()
-		if err := r.Start(); err != nil {
-			return err
-		}
-	}
-}
-
-// duty keeps two candidates of a duty at work and harms the holder again and again.
-func (p *play) duty(ctx context.Context, n int) error {
-	rng := rand.New(rand.NewPCG(p.opts.Seed, uint64(n)))
-	name := fmt.Sprint("duty-", n)
-	news := make(chan table.Duty, 256)
-	watching, stop := context.WithCancel(ctx)
-	defer stop()
-	go func() {
-		_ = p.client.WatchDuty(watching, name, func(d table.Duty) { // ends with its context
-			select {
-			case news <- d:
-			case <-watching.Done():
-			}
-		})
-	}()
-	of := map[string]*proc.Process{}
-	defer func() {
-		for who, h := range of {
-			p.note(who, true)
-			h.Kill()
-		}
-	}()
-	started := 0
-	add := func() error {
-		who := fmt.Sprintf("%s-%d", name, started)
-		started++
-		args := []string{
-			"duty", "hold", name, "--who", who, "--ttl", p.opts.TTL.String(), "--save-every", p.opts.Save.String(),
-			"--log-level", "error",
-		}
-		for _, r := range p.cluster.HTTPs() {
-			args = append(args, "--replicas", r)
-		}
-		h, err := proc.Start(proc.Spec{Name: who, Path: p.opts.Program, Args: args, Log: p.log(who)})
-		of[who] = h
-		return err
-	}
-	for range 2 {
-		if err := add(); err != nil {
-			return err
-		}
-	}
-	for {
-		holder, err := p.held(ctx, news, of, "")
-		if err != nil {
-			return err
-		}
-		if !p.take() {
-			return nil
-		}
-		// At any moment of its work, its renewals and the writes of its checkpoint.
-		time.Sleep(time.Duration(rng.Float64() * float64(p.opts.TTL)))
-		h := of[holder]
-		switch kind := rng.IntN(3); {
-		case kind == 0 && p.opts.Freeze:
-			p.count(&p.r.Freezes)
-			if err := h.Signal(syscall.SIGSTOP); err != nil {
-				return err
-			}
-			if _, err := p.held(ctx, news, of, holder); err != nil {
-				return err
-			}
-			time.Sleep(time.Duration(rng.Float64() * float64(p.opts.TTL) / 2)) // the next is at work by then
-			if err := h.Signal(syscall.SIGCONT); err != nil {
-				return err
-			}
-			continue
-		case kind == 1:
-			p.count(&p.r.Stops)
-			p.note(holder, false)
-			ctx, cancel := context.WithTimeout(ctx, 30*time.Second)
-			err := h.Stop(ctx)
-			cancel()
-			if err != nil {
-				return err
-			}
-		default:
-			p.count(&p.r.Kills)
-			p.note(holder, true)
-			h.Kill()
-			p.mu.Lock()
-			p.ended[holder] = time.Now()
-			p.mu.Unlock()
-		}
-		delete(of, holder)
-		if err := add(); err != nil {
-			return err
-		}
-	}
-}
-
-// held waits until a live candidate holds the duty that is not the one given.
-func (p *play) held(ctx context.Context, news <-chan table.Duty, of map[string]*proc.Process, not string) (string, error) {
-	bound := time.NewTimer(time.Minute)
-	defer bound.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return "", context.Cause(ctx)
-		case <-bound.C:
-			return "", errors.New("a duty has had no holder for a minute")
-		case d := <-news:
-			if d.Holder == not || of[d.Holder] == nil {
-				continue
-			}
-			// It works from when it has taken the duty up.
-			_, err := of[d.Holder].WaitLog(ctx, fmt.Sprintf(`"token":%d,`, d.Token))
-			return d.Holder, err
-		}
-	}
-}
-
-func (p *play) log(who string) string { return filepath.Join(p.opts.Dir, who+".log") }
-
-// take reserves a fault.
-func (p *play) take() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.left--
-	if p.left >= 0 {
-		p.r.Faults++
-		if p.r.Faults%100 == 0 {
-			p.say("%d faults", p.r.Faults)
-		}
-	}
-	return p.left >= 0
-}
-
-func (p *play) count(n *int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	*n++
-}
-
-// note remembers when a process was told to end.
-func (p *play) note(who string, killed bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.asked[who] = time.Now()
-	if killed {
-		p.ended[who] = p.asked[who]
-	}
-}
-
-// tenure is the time in which a process believed that it held a duty.
-type tenure struct {
-	who        string
-	token      uint64
-	from, to   time.Time
-	released   bool
-	saves      []int
-	lastSaveAt time.Time
-}
-
-// judge reads what all processes printed.
-func (p *play) judge() error {
-	logs, err := filepath.Glob(filepath.Join(p.opts.Dir, "duty-*.log"))
-	if err != nil {
-		return err
-	}
-	byDuty := map[string][]*tenure{}
-	for _, path := range logs {
-		data, err := os.ReadFile(path)
-		if err != nil {
-			return err
-		}
-		open := map[uint64]*tenure{}
-		for in := bufio.NewScanner(bytes.NewReader(data)); in.Scan(); {
-			var e event
-			if json.Unmarshal(in.Bytes(), &e) != nil || e.Duty == "" {
-				continue // of the log, or cut off by a kill
-			}
-			t := open[e.Token]
-			switch e.What {
-			case "acquired":
-				t = &tenure{who: e.Who, token: e.Token, from: e.At, to: e.Until}
-				open[e.Token] = t
-				byDuty[e.Duty] = append(byDuty[e.Duty], t)
-			case "renewed":
-				t.to = e.Until
-			case "lost", "released":
-				if e.At.Before(t.to) {
-					t.to = e.At
-				}
-				t.released = t.released || e.What == "released"
-			case "saved":
-				p.r.Saves++
-				t.saves = append(t.saves, e.Count)
-			case "refused":
-				p.r.Refused++
-			}
-		}
-		for _, t := range open {
-			if at, killed := p.ended[t.who]; killed && at.Before(t.to) {
-				t.to = at
-			}
-		}
-	}
-	for name, list := range byDuty {
-		p.judgeDuty(name, list)
-	}
-	p.r.ReleaseP50, p.r.ReleaseP99 = quantiles(p.r.ReleaseGap)
-	p.r.KillP50, p.r.KillP99 = quantiles(p.r.KillGap)
-	return nil
-}
-
-func (p *play) judgeDuty(name string, list []*tenure) {
-	slices.SortFunc(list, func(a, b *tenure) int { return cmp.Compare(a.token, b.token) })
-	p.r.Tenures += len(list)
-	last := 0
-	for i, t := range list {
-		if i > 0 {
-			before := list[i-1]
-			if t.from.Before(before.to) {
-				p.r.Overlaps++
-				p.broken("%s: %s under token %d from %v, %s under %d until %v", name, t.who, t.token, t.from, before.who, before.token, before.to)
-			}
-			if asked, told := p.asked[before.who]; told && !asked.Before(before.from) && asked.Before(t.from) {
-				g := gap{float64(t.from.Sub(asked)) / 1e6, p.leaderless(asked, t.from)}
-				if before.released {
-					g.ms = float64(t.from.Sub(before.to)) / 1e6
-					p.r.ReleaseGap = append(p.r.ReleaseGap, g)
-				} else {
-					p.r.KillGap = append(p.r.KillGap, g)
-				}
-			}
-		}
-		for _, count := range t.saves {
-			// Each count is one above the newest checkpoint, so none comes twice, in the order of tokens.
-			if count <= last {
-				p.r.Twice++
-				p.broken("%s: count %d under token %d after %d", name, count, t.token, last)
-			}
-			last = max(last, count)
-		}
-	}
-}
-
-func (p *play) broken(format string, args ...any) {
-	if len(p.r.Broken) < 20 {
-		p.r.Broken = append(p.r.Broken, fmt.Sprintf(format, args...))
-	}
-}
-
-// leaderless tells whether the registry had to elect a leader within a time.
-func (p *play) leaderless(from, to time.Time) bool {
-	return slices.ContainsFunc(p.down, func(at time.Time) bool { return at.After(from.Add(-2*time.Second)) && at.Before(to) })
-}
-
-// quantiles of the gaps in which the registry had a leader: what an election adds is the registry's figure.
-func quantiles(list []gap) (p50, p99 float64) {
-	var ms []float64
-	for _, g := range list {
-		if !g.leaderless {
-			ms = append(ms, g.ms)
-		}
-	}
-	if len(ms) == 0 {
-		return 0, 0
-	}
-	slices.Sort(ms)
-	return ms[len(ms)/2], ms[min(len(ms)-1, len(ms)*99/100)]
-}
--- /dev/null
+++ b/internal/duty/clock/clock_test.go
@@ -0,0 +1,36 @@
+package clock
+
+import (
+	"testing"
+	"time"
+)
+
+// A reading of any clock leads back to the machine's, and a jump of the wall clock leaves the monotonic part alone.
+func TestClockLeadsBack(t *testing.T) {
+	for _, text := range []string{"", "rate=0.5", "rate=2", "jump=1h/1ms", "rate=0.9,jump=1h/1ms"} {
+		c, err := Parse(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range 100 {
+			before := MachineNS()
+			now := c.Now()
+			after := MachineNS()
+			// A clock's two readings at its start are at most a few µs apart, unless the test was interrupted.
+			if ns := c.NS(now); ns < before-int64(time.Millisecond) || ns > after+int64(time.Millisecond) {
+				t.Fatalf("%q: %d is not between %d and %d", text, ns, before, after)
+			}
+		}
+		if ahead := c.Now().Round(0).Sub(time.Now().Round(0)); (ahead > 59*time.Minute) != (c.jump != 0) {
+			t.Errorf("%q: the wall clock is %v ahead", text, ahead)
+		}
+	}
+	for _, text := range []string{"rate=0", "rate=nan", "rate=x", "jump=1h", "jump=1h/0s", "late"} {
+		if _, err := Parse(text); err == nil {
+			t.Errorf("%q was read", text)
+		}
+	}
+	if True().NS(time.Time{}) != 0 {
+		t.Error("no time has a reading")
+	}
+}
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -34,7 +34,9 @@
 	ErrAsked = errors.New("the holder is asked to step down")
 )
 
-// Event is what becomes of a candidate: waiting, acquired, renewed, asked, lost or released.
+// Event is what becomes of a candidate: waiting, acquired, renewed, asked, lost, stopped or released. At is when it
+// came to be, not when it was told: stopped is when the holder has ceased to believe, before it sends its release, and
+// released when it has heard that this is done; the next may have begun by then.
 type Event struct {
 	What  string    `json:"what"`
 	Duty  string    `json:"duty"`
@@ -51,8 +53,20 @@
 	TTL    time.Duration // of the lease, where this candidate is the first; 0: DefaultTTL
 	Events func(Event)   // told of each step, in order; nil: nobody
 	Once   bool          // return after the first tenure, however it ended
+	Clock  Clock         // what this candidate measures by; nil: the process's own clock
 }
 
+// Clock tells the time and waits. Of the times that it tells only differences count, by their monotonic readings.
+type Clock interface {
+	Now() time.Time
+	After(time.Duration) <-chan time.Time
+}
+
+type ownClock struct{}
+
+func (ownClock) Now() time.Time                         { return time.Now() }
+func (ownClock) After(d time.Duration) <-chan time.Time { return time.After(d) }
+
 // Lease is a duty while it is held.
 type Lease struct {
 	Name       string
@@ -61,12 +75,13 @@
 	Checkpoint []byte // as the last holder left it
 
 	client *registry.Client
+	clock  Clock
 	mu     sync.Mutex
 	until  time.Time // by the monotonic clock
 	over   bool      // the work has ended: a renewal that is still under way changes nothing
 }
 
-// Until is when the holder has to have stopped, unless it is renewed before.
+// Until is when the holder has to have stopped, unless it is renewed before; no time once it has stopped.
 func (l *Lease) Until() time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -74,13 +89,14 @@
 }
 
 // Valid tells whether the lease holds now. By the time that the caller acts on it, it may not: see the package.
-func (l *Lease) Valid() bool { return time.Now().Before(l.Until()) }
+func (l *Lease) Valid() bool { return l.clock.Now().Before(l.Until()) }
 
-// end makes the lease invalid before it is released.
-func (l *Lease) end() {
+// end makes the lease invalid, for good, and returns a time at which it was.
+func (l *Lease) end() time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.over, l.until = true, time.Time{}
+	return l.clock.Now()
 }
 
 // Guard makes a write to the list service count only under this lease.
@@ -105,6 +121,9 @@
 	if opts.TTL == 0 {
 		opts.TTL = DefaultTTL
 	}
+	if opts.Clock == nil {
+		opts.Clock = ownClock{}
+	}
 	c := &candidate{client: client, name: name, opts: opts, news: make(chan table.Duty, 1)}
 	watching, stop := context.WithCancel(ctx)
 	defer stop()
@@ -118,12 +137,13 @@
 			c.release(0)
 			return err
 		}
-		l, err := c.take(ctx, d)
+		ttl := time.Duration(d.TTLMS) * time.Millisecond
+		l, err := c.take(ctx, d, ttl)
 		if err != nil {
 			continue // it went to another before it was taken up
 		}
-		err, told := c.hold(ctx, l, work)
-		l.end()
+		err, told := c.hold(ctx, l, ttl, work)
+		c.event(l.end(), "stopped", l.Token, time.Time{}, 0)
 		c.release(l.Token)
 		if !told || opts.Once || ctx.Err() != nil {
 			return err
@@ -153,12 +173,15 @@
 	}
 }
 
-func (c *candidate) event(what string, token uint64, until time.Time, place int) {
+// event tells of a step that was taken at a time.
+func (c *candidate) event(at time.Time, what string, token uint64, until time.Time, place int) {
 	if c.opts.Events != nil {
-		c.opts.Events(Event{What: what, Duty: c.name, Who: c.opts.Who, Token: token, At: time.Now(), Until: until, Place: place})
+		c.opts.Events(Event{What: what, Duty: c.name, Who: c.opts.Who, Token: token, At: at, Until: until, Place: place})
 	}
 }
 
+func (c *candidate) now() time.Time { return c.opts.Clock.Now() }
+
 // wait seeks the duty and keeps its place in the queue until it is the holder.
 func (c *candidate) wait(ctx context.Context) (table.Duty, error) {
 	seek := func() (table.Duty, error) {
@@ -181,7 +204,7 @@
 		}
 		if place != told {
 			told = place
-			c.event("waiting", 0, time.Time{}, place)
+			c.event(c.now(), "waiting", 0, time.Time{}, place)
 		}
 		select {
 		case <-ctx.Done():
@@ -190,7 +213,7 @@
 			if news.Rev >= d.Rev { // else a replica is behind, and knows nothing of this candidate yet
 				d = news
 			}
-		case <-time.After(c.opts.TTL / renewals):
+		case <-c.opts.Clock.After(c.opts.TTL / renewals):
 			lost, err := c.client.RenewDuties(ctx, c.opts.Who, []registry.DutyRenewal{{Name: c.name}})
 			if err != nil && ctx.Err() != nil {
 				return d, ctx.Err()
@@ -206,84 +229,90 @@
 
 // take renews a duty that was given to this candidate. Only from then on does it know when its lease ends: it was
 // not told when it began.
-func (c *candidate) take(ctx context.Context, d table.Duty) (*Lease, error) {
-	l := &Lease{Name: c.name, Who: c.opts.Who, Token: d.Token, Checkpoint: d.Checkpoint, client: c.client}
-	if err := c.renew(ctx, l, time.Duration(d.TTLMS)*time.Millisecond); err != nil {
+func (c *candidate) take(ctx context.Context, d table.Duty, ttl time.Duration) (*Lease, error) {
+	l := &Lease{
+		Name: c.name, Who: c.opts.Who, Token: d.Token, Checkpoint: d.Checkpoint, client: c.client, clock: c.opts.Clock,
+	}
+	from, err := c.renew(ctx, l, ttl)
+	if err == nil && !l.Valid() {
+		err = ErrLost // the answer came too late to work on
+	}
+	if err != nil {
 		c.release(d.Token)
 		return nil, err
 	}
-	c.event("acquired", l.Token, l.Until(), 0)
+	c.event(from, "acquired", l.Token, l.Until(), 0)
 	return l, nil
 }
 
-// renew asks for more time and counts it from before the question was sent.
-func (c *candidate) renew(ctx context.Context, l *Lease, ttl time.Duration) error {
-	sent := time.Now()
+// renew asks for more time and counts it from before the question was sent. At is when the answer was there.
+func (c *candidate) renew(ctx context.Context, l *Lease, ttl time.Duration) (at time.Time, err error) {
+	sent := c.now()
 	lost, err := c.client.RenewDuties(ctx, l.Who, []registry.DutyRenewal{{Name: l.Name, Token: l.Token}})
+	at = c.now()
 	if err != nil {
-		return err
+		return at, err
 	}
 	if len(lost) > 0 {
-		return ErrLost
+		return at, ErrLost
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if until := sent.Add(ttl - table.Margin(ttl)); until.After(l.until) && !l.over {
 		l.until = until
 	}
-	return nil
+	return at, nil
 }
 
 // hold does the work and keeps the lease. Told: the work was told to stop.
-func (c *candidate) hold(ctx context.Context, l *Lease, work func(context.Context, *Lease) error) (err error, told bool) {
-	ttl := c.opts.TTL
-	if d, err := c.client.GetDuty(ctx, c.name); err == nil {
-		ttl = time.Duration(d.TTLMS) * time.Millisecond
-	}
+func (c *candidate) hold(ctx context.Context, l *Lease, ttl time.Duration, work func(context.Context, *Lease) error) (err error, told bool) {
 	working, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
 	done := make(chan error, 1)
 	go func() { done <- work(working, l) }()
-	renewed := make(chan error, 1)
+	type renewal struct {
+		at  time.Time
+		err error
+	}
+	renewed := make(chan renewal, 1)
 	renewing, lost := false, false
 	lose := func(until time.Time) {
 		if !lost {
 			lost = true
 			stop(ErrLost)
-			c.event("lost", l.Token, until, 0)
+			c.event(l.end(), "lost", l.Token, until, 0)
 		}
 	}
-	next := time.NewTimer(ttl / renewals)
-	defer next.Stop()
-	end := time.NewTimer(time.Until(l.Until()))
-	defer end.Stop()
+	left := func() time.Duration { return l.Until().Sub(c.now()) }
+	next, end := c.opts.Clock.After(ttl/renewals), c.opts.Clock.After(left())
 	for {
 		select {
 		case err := <-done:
 			cause := context.Cause(working)
 			return err, errors.Is(cause, ErrLost) || errors.Is(cause, ErrAsked)
-		case <-end.C:
-			if left := time.Until(l.Until()); left > 0 {
-				end.Reset(left)
+		case <-end:
+			if more := left(); more > 0 {
+				end = c.opts.Clock.After(more)
 			} else {
 				lose(l.Until())
 			}
-		case <-next.C:
+		case <-next:
 			if !renewing && !lost { // also while the work finishes its last step
 				renewing = true
 				go func() {
-					ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), l.Until())
+					ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), left())
 					defer cancel()
-					renewed <- c.renew(ctx, l, ttl)
+					at, err := c.renew(ctx, l, ttl)
+					renewed <- renewal{at, err}
 				}()
 			}
-			next.Reset(ttl / renewals)
-		case err := <-renewed:
+			next = c.opts.Clock.After(ttl / renewals)
+		case r := <-renewed:
 			renewing = false
 			switch {
-			case err == nil:
-				c.event("renewed", l.Token, l.Until(), 0)
-			case errors.Is(err, ErrLost):
+			case r.err == nil && !lost:
+				c.event(r.at, "renewed", l.Token, l.Until(), 0)
+			case errors.Is(r.err, ErrLost):
 				lose(time.Time{})
 			}
 		case d := <-c.news:
@@ -293,7 +322,7 @@
 				lose(time.Time{})
 			case d.Asked && working.Err() == nil:
 				stop(ErrAsked)
-				c.event("asked", l.Token, l.Until(), 0)
+				c.event(c.now(), "asked", l.Token, l.Until(), 0)
 			}
 		}
 	}
@@ -304,6 +333,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), releaseWait)
 	defer cancel()
 	if _, err := c.client.Duty(ctx, table.Release, c.name, registry.DutyCall{Who: c.opts.Who, Token: token}); err == nil && token != 0 {
-		c.event("released", token, time.Time{}, 0)
+		c.event(c.now(), "released", token, time.Time{}, 0)
 	}
 }
