Duties: a hold-down against candidates that trade a duty

Two candidates that failed in turn passed a duty on once a lease each. The table counts the short tenures of a candidate in a row (short is the leader's word in the release or lapse; no clock in the table); from the third on the leader has its next seek wait 4 leases, doubled to at most a minute, unless nobody else is there. Versions that do not know of falls agree on holder, queue and token, as only the admission of a seek depends on them.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -213,6 +213,11 @@
 			if news.Rev >= d.Rev { // else a replica is behind, and knows nothing of this candidate yet
 				d = news
 			}
+			if d.Holder == "" && news.Rev == d.Rev { // who waits for a place in the queue need not wait any more
+				if d, err = seek(); err != nil {
+					return d, fmt.Errorf("duty %s: %w", c.name, err)
+				}
+			}
 		case <-c.opts.Clock.After(c.opts.TTL / renewals):
 			lost, err := c.client.RenewDuties(ctx, c.opts.Who, []registry.DutyRenewal{{Name: c.name}})
 			if err != nil && ctx.Err() != nil {
--- a/internal/duty/table/table.go
+++ b/internal/duty/table/table.go
@@ -15,6 +15,8 @@
 	MaxDuties     = 10_000
 	MaxQueue      = 1000
 	MaxCheckpoint = 4096 // bytes: where work goes on, not the work itself
+	MaxFalls      = 16   // candidates of a duty whose short tenures are counted, the latest
+	MostFalls     = 8    // that are counted of one: no wait grows further
 	MaxName       = 128
 
 	MinTTLMS = 500         // shorter leases do not outlive an election
@@ -48,6 +50,26 @@
 
 	Checkpoint      []byte `json:"checkpoint,omitempty"`
 	CheckpointToken uint64 `json:"checkpoint_token,omitempty"` // under which it was written
+
+	Falls []Fall `json:"falls,omitempty"` // the latest last
+}
+
+// Fall counts the short tenures of a candidate since its last long one. The table does nothing by it: the leader has who
+// fell several times wait before its next seek goes into the log, so versions that do not know of falls agree on the rest.
+type Fall struct {
+	Who   string `json:"who"`
+	N     int    `json:"n"`
+	Token uint64 `json:"token"` // of the last of them
+}
+
+// Fallen is how many short tenures a candidate has had since its last long one.
+func (d *Duty) Fallen(who string) Fall {
+	for _, f := range d.Falls {
+		if f.Who == who {
+			return f
+		}
+	}
+	return Fall{Who: who}
 }
 
 // Kind is what an operation does.
@@ -72,6 +94,7 @@
 	TTLMS int64  `json:"ttl_ms,omitempty"`
 	To    string `json:"to,omitempty"`
 	Data  []byte `json:"data,omitempty"`
+	Short bool   `json:"short,omitempty"` // of a release or lapse: the tenure was short, by the leader's clock
 }
 
 // FieldError is what is wrong with an operation: the field and why.
@@ -172,7 +195,7 @@
 		old = &Duty{Name: o.Name, TTLMS: o.TTLMS}
 	}
 	d := *old // copied, so that who has read the old one keeps it as it was
-	d.Queue = slices.Clone(old.Queue)
+	d.Queue, d.Falls = slices.Clone(old.Queue), slices.Clone(old.Falls)
 	outcome, why := d.do(index, o)
 	if outcome == Done && !same(&d, old) {
 		d.Rev, t.rev = index, index
@@ -184,6 +207,7 @@
 func same(a, b *Duty) bool {
 	return a.Holder == b.Holder && a.Token == b.Token && a.TTLMS == b.TTLMS && a.Next == b.Next && a.Asked == b.Asked &&
 		a.Revoked == b.Revoked && a.CheckpointToken == b.CheckpointToken && slices.Equal(a.Queue, b.Queue) &&
+		slices.Equal(a.Falls, b.Falls) &&
 		slices.Equal(a.Checkpoint, b.Checkpoint)
 }
 
@@ -194,6 +218,7 @@
 		return d.seek(index, o)
 	case Release, Lapse:
 		if holds {
+			d.count(o)
 			d.pass(index)
 		} else if o.Token == 0 && o.Who != d.Holder {
 			d.leave(o.Who)
@@ -260,6 +285,19 @@
 	d.Changes++
 }
 
+// count takes into account how long the holder that goes has held. Who was asked to, or had it taken away, did not fall.
+func (d *Duty) count(o *Op) {
+	if d.Asked || d.Revoked {
+		return
+	}
+	n := d.Fallen(o.Who).N
+	d.Falls = slices.DeleteFunc(d.Falls, func(f Fall) bool { return f.Who == o.Who })
+	if o.Short {
+		d.Falls = append(d.Falls, Fall{o.Who, min(n+1, MostFalls), o.Token})
+		d.Falls = d.Falls[max(0, len(d.Falls)-MaxFalls):]
+	}
+}
+
 func (d *Duty) leave(who string) {
 	if i := slices.Index(d.Queue, who); i >= 0 {
 		d.Queue = slices.Delete(d.Queue, i, i+1)
--- a/internal/registry/duty.go
+++ b/internal/registry/duty.go
@@ -33,6 +33,7 @@
 type dutyLeases struct {
 	mu   sync.Mutex
 	of   map[dutyKey]*dutyLease
+	down map[dutyKey]*holdDown
 	held map[string]time.Time // when a duty was last known to be held, for the time without a holder
 	gap  func(time.Duration)  // told of each such time; nil: nobody
 }
@@ -43,22 +44,23 @@
 	token   uint64 // 0: a candidate
 	ttl     time.Duration
 	begun   time.Time
+	seen    bool // its beginning, by this leader
 	renewed time.Time
 	taken   bool // renewed by its holder, who works from then on
 	ending  bool // its end is on the way into the log: it cannot be renewed any more
 }
 
 func newDutyLeases() *dutyLeases {
-	return &dutyLeases{of: map[dutyKey]*dutyLease{}, held: map[string]time.Time{}}
+	return &dutyLeases{of: map[dutyKey]*dutyLease{}, down: map[dutyKey]*holdDown{}, held: map[string]time.Time{}}
 }
 
 // reset gives everyone the full time.
 func (l *dutyLeases) reset(now time.Time, s *State) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.of, l.held = map[dutyKey]*dutyLease{}, map[string]time.Time{}
+	l.of, l.down, l.held = map[dutyKey]*dutyLease{}, map[dutyKey]*holdDown{}, map[string]time.Time{}
 	for _, d := range s.duties.Save() {
-		l.put(now, d)
+		l.put(now, d, false)
 	}
 }
 
@@ -82,16 +84,17 @@
 			delete(l.of, key)
 		}
 	}
-	l.put(now, &d)
+	l.put(now, &d, true)
 }
 
-// put begins the leases that are not known; the caller holds the lock.
-func (l *dutyLeases) put(now time.Time, d *table.Duty) {
+// put begins the leases and waits that are not known, seen from their beginning or not; the caller holds the lock.
+func (l *dutyLeases) put(now time.Time, d *table.Duty, seen bool) {
+	l.putDown(now, d)
 	ttl := time.Duration(d.TTLMS) * time.Millisecond
 	begin := func(who string, token uint64) {
 		key := dutyKey{d.Name, who}
 		if old := l.of[key]; old == nil || old.token != token {
-			l.of[key] = &dutyLease{token: token, ttl: ttl, begun: now, renewed: now}
+			l.of[key] = &dutyLease{token: token, ttl: ttl, begun: now, seen: seen, renewed: now}
 		}
 	}
 	if d.Holder != "" {
@@ -141,7 +144,7 @@
 	for key, e := range l.of {
 		if now.Sub(e.renewed) > e.ttl+time.Duration(dutyDrift*float64(e.ttl)) {
 			e.ending = true
-			out = append(out, table.Op{Kind: table.Lapse, Name: key.name, Who: key.who, Token: e.token})
+			out = append(out, table.Op{Kind: table.Lapse, Name: key.name, Who: key.who, Token: e.token, Short: e.short(now)})
 		}
 	}
 	slices.SortFunc(out, func(a, b table.Op) int {
@@ -195,6 +198,15 @@
 		refuse(w, http.StatusBadRequest, err)
 		return
 	}
+	switch op.Kind {
+	case table.Seek:
+		if !r.admits(op.Name, op.Who) {
+			r.answerDuty(w, op.Name)
+			return
+		}
+	case table.Release:
+		op.Short = r.duties.short(time.Now(), op.Name, op.Who, op.Token)
+	}
 	res, err := r.write(&Record{Op: OpDuty, ID: in.ID, Duty: &op})
 	if err != nil {
 		r.noLeader(w)
