--- a/cmd/milldeck/duty.go
+++ b/cmd/milldeck/duty.go
@@ -65,6 +65,9 @@
 			}
 			defer client.Close()
 			opts.Clock = clk
+			if opts.Who == "" {
+				opts.Who = registry.NewID() // one for all, whose renewals then go together
+			}
 			out := &lines{enc: json.NewEncoder(c.OutOrStdout())}
 			opts.Events = func(e duty.Event) { out.print(step{e, clk.NS(e.At), clk.NS(e.Until)}) }
 			ended := make(chan error, len(args))
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -219,11 +219,11 @@
 				}
 			}
 		case <-c.opts.Clock.After(c.opts.TTL / renewals):
-			lost, err := c.client.RenewDuties(ctx, c.opts.Who, []registry.DutyRenewal{{Name: c.name}})
+			lost, err := renewTogether(ctx, c.client, c.opts.Who, registry.DutyRenewal{Name: c.name}, c.opts.TTL/lingerPart)
 			if err != nil && ctx.Err() != nil {
 				return d, ctx.Err()
 			}
-			if err == nil && len(lost) > 0 { // it may be the holder meanwhile, or was away for too long
+			if err == nil && lost { // it may be the holder meanwhile, or was away for too long
 				if d, err = seek(); err != nil {
 					return d, fmt.Errorf("duty %s: %w", c.name, err)
 				}
@@ -238,7 +238,7 @@
 	l := &Lease{
 		Name: c.name, Who: c.opts.Who, Token: d.Token, Checkpoint: d.Checkpoint, client: c.client, clock: c.opts.Clock,
 	}
-	from, err := c.renew(ctx, l, ttl)
+	from, err := c.renew(ctx, l, ttl, 0)
 	if err == nil && !l.Valid() {
 		err = ErrLost // the answer came too late to work on
 	}
@@ -250,15 +250,16 @@
 	return l, nil
 }
 
-// renew asks for more time and counts it from before the question was sent. At is when the answer was there.
-func (c *candidate) renew(ctx context.Context, l *Lease, ttl time.Duration) (at time.Time, err error) {
+// renew asks for more time and counts it from before the question was sent. It may wait for others to go with it. At is
+// when the answer was there.
+func (c *candidate) renew(ctx context.Context, l *Lease, ttl, linger time.Duration) (at time.Time, err error) {
 	sent := c.now()
-	lost, err := c.client.RenewDuties(ctx, l.Who, []registry.DutyRenewal{{Name: l.Name, Token: l.Token}})
+	lost, err := renewTogether(ctx, c.client, l.Who, registry.DutyRenewal{Name: l.Name, Token: l.Token}, linger)
 	at = c.now()
 	if err != nil {
 		return at, err
 	}
-	if len(lost) > 0 {
+	if lost {
 		return at, ErrLost
 	}
 	l.mu.Lock()
@@ -307,7 +308,7 @@
 				go func() {
 					ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), left())
 					defer cancel()
-					at, err := c.renew(ctx, l, ttl)
+					at, err := c.renew(ctx, l, ttl, ttl/lingerPart)
 					renewed <- renewal{at, err}
 				}()
 			}
