--- a/internal/duty/faults_test.go
+++ b/internal/duty/faults_test.go
@@ -92,6 +92,16 @@
 	}
 }
 
+// A play that would go on for ever ends at its limit, and says so.
+func TestPlayEnds(t *testing.T) {
+	const limit = 3 * time.Second
+	o := bench.Options{Program: proctest.Program(t, "milldeck"), Dir: t.TempDir(), Replicas: 1, Duties: 2, Faults: 1e6, Limit: limit}
+	o.TTL, o.Save = time.Second, 20*time.Millisecond
+	if r, err := bench.Run(t.Context(), o); err == nil || !strings.Contains(err.Error(), fmt.Sprintf("not over after %v", limit)) {
+		t.Errorf("%+v: %v", r, err)
+	}
+}
+
 type bed struct {
 	*testing.T
 	ctx    context.Context
--- a/internal/registry/holddown.go
+++ b/internal/registry/holddown.go
@@ -33,7 +33,7 @@
 	if falls <= fallsAllowed {
 		return 0
 	}
-	return max(firstWait*ttl, min(firstWait*ttl<<(falls-fallsAllowed-1), mostWait))
+	return min(firstWait*ttl<<(falls-fallsAllowed-1), mostWait)
 }
 
 // putDown begins the waits that are not known; the caller holds the lock.
