Release plans: strict TOML, waves drawn for a fleet, and a dry run that knows the budgets

A release has to be checked before anything moves. The plan names one change, waves, bake, limits, guards and what a halt does; Check draws the waves, says what capacity stays and what is warmed anew, and refuses what no budget can ever allow, by its name. Errors name file, line and key.

--- /dev/null
+++ b/internal/release/plan/plan_test.go
@@ -0,0 +1,175 @@
+package plan
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"milldeck/internal/disruption"
+)
+
+const good = `name = "server-3"
+on_halt = "back"
+deadline_s = 1800
+
+[what]
+server = "3"
+
+[select]
+model = "loan"
+
+[[wave]]
+count = 1
+zone = "a"
+bake_s = 30
+widen = 2
+
+[[wave]]
+share = 0.25
+bake_s = 60
+
+[[wave]]
+bake_s = 60
+
+[limits]
+max_out = { share = 0.1 }
+
+[guards]
+failed = 0.01
+`
+
+func TestErrorsNameFileLineAndKey(t *testing.T) {
+	if _, err := Parse("p.toml", []byte(good)); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ name, from, to, want string }{
+		{"unknown key", "bake_s = 30", "bake = 30", "p.toml:14: wave.bake: unknown key"},
+		{"no name", `name = "server-3"`, ``, "p.toml: name: "},
+		{"a name that is no path", "server-3", "../x", "p.toml:1: name: "},
+		{"nothing to release", `server = "3"`, ``, "p.toml:5: what: nothing to release"},
+		{"servers and sidecars", `server = "3"`, "server = \"3\"\nsidecar = \"4\"", "p.toml:6: what.server: "},
+		{"kind", `model = "loan"`, `kind = "sidecar"`, "p.toml:9: select.kind: "},
+		{"by version", `model = "loan"`, `version = "2"`, "p.toml:9: select.version: "},
+		{"count and share", "count = 1", "count = 1\nshare = 0.5", "p.toml:13: wave[0].share: "},
+		{"share", "share = 0.25", "share = 1.25", "p.toml:18: wave[1].share: 1.25"},
+		{"on_halt", `"back"`, `"forth"`, "p.toml:2: on_halt: "},
+		{"no deadline", "deadline_s = 1800", "", "p.toml: deadline_s: "},
+		{"deadline within the bakes", "1800", "150", "p.toml:3: deadline_s: 150 s, but the waves alone"},
+		{"nan", "1800", "nan", "p.toml:3: deadline_s: "},
+		{"limit", "share = 0.1 }", "count = 0 }", "p.toml:25: limits.max_out.count: "},
+		{"guard", "failed = 0.01", "failed = -0.01", "p.toml:28: guards.failed: "},
+	} {
+		if !strings.Contains(good, c.from) {
+			t.Fatalf("%s: %q is not in the plan", c.name, c.from)
+		}
+		_, err := Parse("p.toml", []byte(strings.Replace(good, c.from, c.to, 1)))
+		if err == nil || !strings.HasPrefix(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v, want one line that begins %q", c.name, err, c.want)
+		}
+	}
+}
+
+func TestAnEditedPlanHasAnotherHash(t *testing.T) {
+	a, _ := Parse("p.toml", []byte(good))
+	b, _ := Parse("q.toml", []byte("# words\n"+good))
+	c, _ := Parse("p.toml", []byte(strings.Replace(good, "count = 1", "count = 2", 1)))
+	if a.Hash() != b.Hash() || a.Hash() == c.Hash() {
+		t.Errorf("hashes %s, %s with a comment, %s with another count", a.Hash(), b.Hash(), c.Hash())
+	}
+}
+
+func fleet(zones, each int) (out []disruption.Unit) {
+	for z := range zones {
+		for i := range each {
+			out = append(out, disruption.Unit{ID: fmt.Sprintf("server/%c%03d", 'a'+z, i), Kind: disruption.Server,
+				Zone: string(rune('a' + z)), Model: "loan", Pod: i / 4, Capacity: 1, Condition: disruption.Up})
+		}
+	}
+	return out
+}
+
+func TestDryRun(t *testing.T) {
+	p, err := Parse("p.toml", []byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	share := 0.1
+	v := Check(p, fleet(2, 20), []disruption.Budget{{Name: "all", MaxOut: disruption.Limit{Share: &share}}})
+	if len(v.Refused) > 0 || v.MaxOut != 4 || v.Cold != 40 {
+		t.Errorf("refused %q, %d out at most, %v cold; want none, 4, 40", v.Refused, v.MaxOut, v.Cold)
+	}
+	var sizes []int
+	for _, w := range v.Waves {
+		sizes = append(sizes, len(w.Units))
+	}
+	if !reflect.DeepEqual(sizes, []int{1, 10, 29}) {
+		t.Errorf("waves of %v, want 1, 10, 29", sizes)
+	}
+	if c := v.Stays[""]; c != (Cap{36, 40}) {
+		t.Errorf("%+v stays, want 36 of 40", c)
+	}
+}
+
+func TestWhatBudgetsCanNeverAllowIsRefused(t *testing.T) {
+	n, small := 1, 0.04
+	for _, c := range []struct {
+		name, from, to string
+		budget         disruption.Budget
+		units          []disruption.Unit
+		want           string
+	}{
+		{"share rounds down to none", "", "", disruption.Budget{Name: "zone-a", Select: disruption.Selector{Zone: "a"},
+			MaxOut: disruption.Limit{Share: &small}}, nil, `budget "zone-a": max_out allows 0 of its 20 units`},
+		{"a unit too large to be cold", "", "", disruption.Budget{Name: "warm", MaxCold: disruption.Limit{Count: &n}},
+			append(fleet(2, 20), disruption.Unit{ID: "server/big", Kind: disruption.Server, Model: "loan", Zone: "a", Capacity: 9}),
+			`budget "warm": max_cold allows a capacity of 1.2 cold, and server/big alone is 9`},
+		{"a pod group of one", "", "", disruption.Budget{}, fleet(1, 21), "pod group 5 of model \"loan\""},
+		{"units in no wave", "[[wave]]\nbake_s = 60", "", disruption.Budget{}, nil, "29 of 40 units are in no wave"},
+		{"none selected", `"loan"`, `"none"`, disruption.Budget{}, nil, "selects no server"},
+		{"an empty wave", `zone = "a"`, `zone = "q"`, disruption.Budget{}, nil, "wave[0] has no units"},
+	} {
+		p, err := Parse("p.toml", []byte(strings.Replace(good, c.from, c.to, 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c.units == nil {
+			c.units = fleet(2, 20)
+		}
+		v := Check(p, c.units, []disruption.Budget{c.budget})
+		if !slices.ContainsFunc(v.Refused, func(s string) bool { return strings.Contains(s, c.want) }) {
+			t.Errorf("%s: refused %q, want one with %q", c.name, v.Refused, c.want)
+		}
+	}
+}
+
+// Whatever the fleet and the order in which it is told: each unit is in one wave at most, and the waves are the same.
+func TestWavesDivideTheUnits(t *testing.T) {
+	p, err := Parse("p.toml", []byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		units := fleet(rapid.IntRange(1, 4).Draw(t, "zones"), rapid.IntRange(1, 30).Draw(t, "each"))
+		waves := Waves(p, Units(p, units))
+		again := Waves(p, Units(p, rapid.Permutation(units).Draw(t, "order")))
+		if !reflect.DeepEqual(waves, again) {
+			t.Fatal("another order of the units gives other waves")
+		}
+		seen := map[string]bool{}
+		for _, w := range waves {
+			for _, id := range w {
+				if seen[id] {
+					t.Fatalf("%s is in two waves", id)
+				}
+				seen[id] = true
+			}
+		}
+		if len(seen) != len(units) {
+			t.Fatalf("%d of %d units are in waves", len(seen), len(units))
+		}
+	})
+}
