--- a/internal/release/plan/plan.go
+++ b/internal/release/plan/plan.go
@@ -73,7 +73,7 @@
 	Served   *float64 `toml:"served" json:"served,omitempty"`     // of the share answered in time, by how much it may be lower
 	Late     *float64 `toml:"late" json:"late,omitempty"`         // of the share answered late
 	Failed   *float64 `toml:"failed" json:"failed,omitempty"`     // of the share failed
-	Latency  *float64 `toml:"latency" json:"latency,omitempty"`   // of the share slower than nine tenths of the old
+	Latency  *float64 `toml:"latency" json:"latency,omitempty"`   // of the share slower than three quarters of the old
 	Restarts *float64 `toml:"restarts" json:"restarts,omitempty"` // of the restarts of a unit in a second
 	Memory   *float64 `toml:"memory" json:"memory,omitempty"`     // relative, of the mean memory of a unit
 	// FalseAlarms is the chance that a healthy release is halted by any of its comparisons, over its whole course.
