--- a/internal/disruption/types.go
+++ b/internal/disruption/types.go
@@ -43,7 +43,14 @@
 	Version   string    `json:"version,omitempty"`
 	Capacity  float64   `json:"capacity"` // relative; 0 counts as 1
 	Condition Condition `json:"condition"`
-	Rev       uint64    `json:"rev"` // of the log, at its last change
+	Rev       uint64    `json:"rev"` // of the log, when its condition, life or version last changed
+
+	Endpoint string  `json:"endpoint,omitempty"` // of a server: another that registers there stands in a lost one's place
+	BootMS   float64 `json:"boot_ms,omitempty"`  // of its last start, Unix ms; another one is another life
+	Warm     bool    `json:"warm,omitempty"`     // it was found Up in this life
+	Seen     uint64  `json:"seen,omitempty"`     // revision at which it was last registered or found
+	For      string  `json:"for,omitempty"`      // the unit that it has replaced: it replaces no second one
+	Next     string  `json:"next,omitempty"`     // of a lost unit under a permit: who registered at its endpoint since
 }
 
 // UnitID names a unit in the ledger.
@@ -122,6 +129,14 @@
 	AskedAt uint64   `json:"asked_at"`          // revisions of the log
 	GotAt   uint64   `json:"got_at,omitempty"`
 	Why     string   `json:"why,omitempty"` // why it still waits: the budget or halt that holds it
+
+	// Instead names, for a unit that is the only one of its pod group or zone, one that is Up elsewhere and carries what
+	// stood only there. It is not taken out while the permit lasts. Alone does without, by an operator's word.
+	Instead map[string]string `json:"instead,omitempty"`
+	Alone   bool              `json:"alone,omitempty"`
+	OutAt   uint64            `json:"out_at,omitempty"`  // revision of its begin
+	BackAt  uint64            `json:"back_at,omitempty"` // revision at which its owner said that it comes back
+	Undone  bool              `json:"undone,omitempty"`  // cancelled after its begin: a unit that is Up again ends it, whatever End says
 }
 
 // Halt keeps grants back. Scope is "" for the fleet, "budget/NAME", or an owner ("release/NAME").
@@ -132,6 +147,17 @@
 	Rev   uint64 `json:"rev"`
 }
 
+// The outcomes of an operation.
+const (
+	Done     Outcome = "done"
+	Refused  Outcome = "refused"   // as things stand it must not be; the reason says what stands against it
+	NotFound Outcome = "not_found" // there is no such permit, budget, halt or unit
+	TooMany  Outcome = "too_many"  // a bound of the ledger is reached
+)
+
+// Outcome says what became of an operation.
+type Outcome string
+
 // OpKind is what an operation does.
 type OpKind string
 
