--- a/internal/release/plan/check.go
+++ b/internal/release/plan/check.go
@@ -74,7 +74,7 @@
 		v.MaxOut = min(v.MaxOut, len(moved))
 	}
 	v.budgets(p, moved, units, budgets)
-	v.pods(p, moved, units)
+	v.groups(p, moved, units)
 	v.stays(moved, units)
 	return v
 }
@@ -94,14 +94,14 @@
 	for _, b := range append(budgets, own) {
 		all, total := 0, 0.0
 		for _, u := range units {
-			if Selects(b.Select, u) {
+			if b.Select.Selects(&u) {
 				all++
 				total += capacity(u)
 			}
 		}
 		var hit []disruption.Unit
 		for _, u := range moved {
-			if Selects(b.Select, u) {
+			if b.Select.Selects(&u) {
 				hit = append(hit, u)
 			}
 		}
@@ -133,21 +133,25 @@
 	}
 }
 
-// pods tells which pod group would be wholly out with one of its units: that is never granted.
-func (v *Preview) pods(p *Plan, moved, units []disruption.Unit) {
+// groups tells which pod group or zone would be wholly out with one of its servers: that is never granted.
+func (v *Preview) groups(p *Plan, moved, units []disruption.Unit) {
 	if p.Kind() != disruption.Server {
 		return
 	}
 	size := map[string]int{}
-	pod := func(u disruption.Unit) string { return fmt.Sprintf("%d of model %q", u.Pod, u.Model) }
+	pod := func(u disruption.Unit) string { return fmt.Sprintf("pod group %d", u.Pod) }
+	zone := func(u disruption.Unit) string { return fmt.Sprintf("zone %q", u.Zone) }
 	for _, u := range units {
 		if u.Kind == disruption.Server {
 			size[pod(u)]++
+			size[zone(u)]++
 		}
 	}
 	for _, u := range moved {
-		if size[pod(u)] == 1 {
-			v.refuse("pod group %s is %s alone: no pod group is ever wholly out", pod(u), u.ID)
+		for _, g := range []string{pod(u), zone(u)} {
+			if size[g] == 1 {
+				v.refuse("%s is %s alone: neither a pod group nor a zone is ever wholly out", g, u.ID)
+			}
 		}
 	}
 }
@@ -206,7 +210,7 @@
 	sel.Kind = p.Kind()
 	var out []disruption.Unit
 	for _, u := range units {
-		if Selects(sel, u) {
+		if sel.Selects(&u) {
 			out = append(out, u)
 		}
 	}
@@ -258,14 +262,6 @@
 	return out
 }
 
-// Selects tells whether a selector names a unit.
-func Selects(s disruption.Selector, u disruption.Unit) bool {
-	return (s.Kind == "" || s.Kind == u.Kind) && (s.Zone == "" || s.Zone == u.Zone) &&
-		(s.Model == "" || s.Model == u.Model) && (s.Pod == nil || *s.Pod == u.Pod) &&
-		(s.Tenant == "" || len(u.Tenants) == 0 || slices.Contains(u.Tenants, s.Tenant)) &&
-		(s.Version == "" || s.Version == u.Version) && (len(s.IDs) == 0 || slices.Contains(s.IDs, u.ID))
-}
-
 // allowed is how many of n a limit lets out, and whether it bounds at all.
 func allowed(l disruption.Limit, n float64) (float64, bool) {
 	out := math.Inf(1)
--- a/internal/release/plan/plan_test.go
+++ b/internal/release/plan/plan_test.go
@@ -127,7 +127,7 @@
 		{"a unit too large to be cold", "", "", disruption.Budget{Name: "warm", MaxCold: disruption.Limit{Count: &n}},
 			append(fleet(2, 20), disruption.Unit{ID: "server/big", Kind: disruption.Server, Model: "loan", Zone: "a", Capacity: 9}),
 			`budget "warm": max_cold allows a capacity of 1.2 cold, and server/big alone is 9`},
-		{"a pod group of one", "", "", disruption.Budget{}, fleet(1, 21), "pod group 5 of model \"loan\""},
+		{"a pod group of one", "", "", disruption.Budget{}, fleet(1, 21), "pod group 5 is server/a020 alone"},
 		{"units in no wave", "[[wave]]\nbake_s = 60", "", disruption.Budget{}, nil, "29 of 40 units are in no wave"},
 		{"none selected", `"loan"`, `"none"`, disruption.Budget{}, nil, "selects no server"},
 		{"an empty wave", `zone = "a"`, `zone = "q"`, disruption.Budget{}, nil, "wave[0] has no units"},
