--- a/internal/release/kill_test.go
+++ b/internal/release/kill_test.go
@@ -70,7 +70,7 @@
 	w.bugs = bug
 	if sc.drain {
 		sel := disruption.Selector{IDs: []string{"server/a0", "server/b1"}}
-		l := w.take0()
+		l := w.list()
 		s, e := NewDrain("r", sel, 3600, 77, w.now, w.ledger.Units(), l)
 		if e == nil {
 			e = w.table.Start(s)
@@ -102,6 +102,11 @@
 			return effects, fmt.Errorf("once: %s was started %d times", what, n)
 		}
 	}
+	for what, n := range w.reloads {
+		if n > 1 {
+			return effects, fmt.Errorf("once: %s was told %d times", what, n)
+		}
+	}
 	for _, p := range w.ledger.Permits() {
 		return effects, fmt.Errorf("permit %s is %s at the end", p.ID, p.Stage)
 	}
--- a/internal/release/world_test.go
+++ b/internal/release/world_test.go
@@ -42,8 +42,8 @@
 	table    *Table
 	units    map[string]*unitWorld
 	ids      []string
-	launches map[string]int // by unit and version
-	stops    map[string]int
+	launches map[string]int  // by unit and version
+	reloads  map[string]int  // by unit and configuration
 	broken   map[string]bool // versions that fail at start
 	never    map[string]bool // versions that are never ready
 	badConf  map[string]bool // configurations that sidecars refuse
@@ -64,7 +64,7 @@
 
 func newWorld(t testing.TB, kind disruption.Kind, zones, each, maxOut int) *world {
 	w := &world{t: t, now: 1_000_000, ledger: disruption.New(), table: NewTable(), units: map[string]*unitWorld{}, token: 100, rev: 1000,
-		launches: map[string]int{}, stops: map[string]int{}, broken: map[string]bool{}, never: map[string]bool{}, badConf: map[string]bool{},
+		launches: map[string]int{}, reloads: map[string]int{}, broken: map[string]bool{}, never: map[string]bool{}, badConf: map[string]bool{},
 		verdict: func(*State) judge.Verdict { return judge.Verdict{Kind: judge.Pass} }}
 	versions := map[core.Version]fake.Version{}
 	for _, v := range []string{"1", "2", "3"} {
@@ -119,11 +119,9 @@
 func (w *world) behave(p supervisor.Unit) fake.Life {
 	u := w.units[w.id(p.Name)]
 	w.launches[u.unit.ID+" "+p.Version]++
-	if w.platform != nil && w.platformAlive(p.Name) > 0 && u.version != "" {
-		w.t.Logf("%d: %s is started beside a process of its own", w.now, p.Name)
-	}
 	u.version, u.config, u.bootMS, u.readyMS = p.Version, p.Config, w.now, w.now+800
 	life := fake.Life{ReadyMS: 800, StopMS: sleepyStop, Reloaded: func(config, _ string) {
+		w.reloads[u.unit.ID+" "+config]++
 		if w.badConf[config] {
 			u.refused = config
 		} else {
@@ -139,12 +137,11 @@
 	return life
 }
 
-// platformAlive is only asked outside of the platform's own calls.
-func (w *world) platformAlive(string) int { return 0 }
+func (u *unitWorld) name() string { return u.unit.ID[strings.Index(u.unit.ID, "/")+1:] }
 
 // up is the truth about a unit.
 func (w *world) up(u *unitWorld) bool {
-	return w.platform.Alive(u.unit.ID[strings.Index(u.unit.ID, "/")+1:]) > 0 && u.readyMS >= 0 && u.readyMS <= w.now && !u.terminating && u.cold <= w.now
+	return w.platform.Alive(u.name()) > 0 && u.readyMS >= 0 && u.readyMS <= w.now && !u.terminating && u.cold <= w.now
 }
 
 // advance has a tick pass: processes go on, leases end, what registers is seen.
@@ -154,7 +151,7 @@
 	out := 0
 	for _, id := range w.ids {
 		u := w.units[id]
-		alive := w.platform.Alive(id[strings.Index(id, "/")+1:]) > 0
+		alive := w.platform.Alive(u.name()) > 0
 		known, is := w.ledger.Unit(id)
 		w.rev++
 		switch {
@@ -225,6 +222,8 @@
 	state   *State
 	answers map[string]supervisor.Outcome
 	denied  map[string]string
+
+	unwritten []Delta // by a planted bug
 }
 
 func (w *world) take(name string) *controller {
@@ -297,7 +296,7 @@
 			c.answers[id] = out[0]
 		}
 	case Terminate:
-		if u := w.units[e.Unit]; current && !u.terminating && w.platform.Alive(e.Unit[strings.Index(e.Unit, "/")+1:]) > 0 {
+		if u := w.units[e.Unit]; current && !u.terminating && w.platform.Alive(u.name()) > 0 {
 			u.terminating, u.drainedMS = true, w.now
 		}
 	case Restore:
@@ -306,6 +305,11 @@
 		}
 	case Prepare:
 	case Write:
+		if w.bugs.late {
+			c.state.Apply(e.Delta)
+			c.unwritten = append(c.unwritten, e.Delta)
+			return
+		}
 		if current && w.table.Step(c.name, e.Delta) == nil && !lost {
 			s, _ := w.table.Get(c.name)
 			c.state.Apply(e.Delta)
@@ -316,12 +320,14 @@
 	}
 }
 
-// order is the order in which a step's effects are done.
-func (c *controller) order(effects []Effect) []Effect {
-	if n := len(effects); c.w.bugs.late && n > 1 {
-		return effects
+// flush writes what a planted bug has put off, in the tick after it.
+func (c *controller) flush() {
+	for _, d := range c.unwritten {
+		if c.token == c.w.token {
+			c.w.table.Step(c.name, d)
+		}
 	}
-	return effects
+	c.unwritten = nil
 }
 
 // kill says where controllers die: each effect is passed a number, from 0, over the whole run.
@@ -346,6 +352,9 @@
 			return s, k.effect
 		}
 		effects := c.state.Step(c.view())
+		if i%3 == 0 {
+			c.flush()
+		}
 		for j, e := range effects {
 			n := k.effect
 			k.effect++
@@ -394,8 +403,8 @@
 	return nil
 }
 
-// take0 is the platform's list, which has to be had.
-func (w *world) take0() *supervisor.List {
+// list is the platform's list, which has to be had.
+func (w *world) list() *supervisor.List {
 	l, err := w.platform.List(context.Background())
 	if err != nil {
 		w.t.Fatal(err)
