--- a/internal/release/core.go
+++ b/internal/release/core.go
@@ -309,9 +309,13 @@
 	}
 }
 
-// send has as many units ask for their permits as the release's own limits have room for.
+// send has as many units ask for their permits as the release's own limits have room for. The way back may have twice
+// as many out as the way forward: the fleet's budgets bound it all the same, and what it goes to is known.
 func (c *stepper) send(todo []int) {
 	room, cold := c.s.Plan.MaxOut(len(c.s.Units)), c.s.maxCold()
+	if c.head.Phase == Back {
+		room, cold = 2*room, 2*cold
+	}
 	for i := range c.s.Units {
 		if u := c.at(i); u.flying() {
 			room--
