--- a/internal/disruption/grant.go
+++ b/internal/disruption/grant.go
@@ -329,14 +329,15 @@
 			t.look(p)
 			t.todo.drop(p) // its own leaving and entering of groups is no news to it
 		}
-		held, zoned := p.asks.holds, len(p.asks.zoned)
+		held, zoned := p.asks.holds, p.asks.zoned
 		v, why := t.judge(p)
 		p.Why = why
 		if v == fits {
 			t.grant(p)
 			continue
 		}
-		if held && !p.asks.holds || len(p.asks.zoned) < zoned {
+		gone := func(g *group) bool { return !slices.Contains(p.asks.zoned, g) }
+		if held && (!p.asks.holds || slices.ContainsFunc(zoned, gone)) {
 			for _, take := range p.asks.takes { // who stood behind it does so no more
 				t.touchAfter(take.g, p)
 			}
