--- /dev/null
+++ b/cmd/milldeck/release.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"milldeck/internal/disruption"
+	"milldeck/internal/release/plan"
+)
+
+func newRelease() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "release",
+		Short: "Releases: another version, wave by wave, within the fleet's budgets",
+		Long:  "release moves servers or sidecars to another version. docs/release.md tells what is promised.\n\n" + exitHelp,
+		Args:  exactly(0),
+		RunE:  func(c *cobra.Command, _ []string) error { return c.Help() },
+	}
+	c.AddCommand(newReleaseCheck())
+	return c
+}
+
+// maxView bounds a view of a fleet that is read from a file, in bytes: 100,000 units have about 30 MB.
+const maxView = 64 << 20
+
+func newReleaseCheck() *cobra.Command {
+	var view string
+	var asJSON bool
+	c := &cobra.Command{
+		Use:   "check PLAN",
+		Short: "Checks a plan, and plays it dry against a view of the fleet",
+		Long: "check reads a plan and says what is wrong with it, by file, line and key. With --view it draws the waves for that\n" +
+			"fleet, says what capacity stays and what is warmed anew, and refuses what its budgets can never allow. A view is\n" +
+			"the ledger as the list service shows it, with all its units.\n\n" + exitHelp,
+		Example: "  milldeck release check plan.toml\n  milldeck release check plan.toml --view ledger.json --json",
+		Args:    exactly(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			p, err := plan.Load(args[0])
+			if err != nil {
+				return err
+			}
+			out := c.OutOrStdout()
+			if view == "" {
+				_, err = fmt.Fprintf(out, "%s: release %s, plan %s, %d waves\n", args[0], p.Name, p.Hash(), len(p.Waves))
+				return err
+			}
+			v, err := readView(view)
+			if err != nil {
+				return usageError{fmt.Errorf("--view: %w", err)}
+			}
+			dry := plan.Check(p, v.Units, v.Budgets)
+			if asJSON {
+				err = json.NewEncoder(out).Encode(dry)
+			} else {
+				err = writeDry(out, dry)
+			}
+			if err != nil {
+				return err
+			}
+			if n := len(dry.Refused); n > 0 {
+				return fmt.Errorf("release %s can never be as it is planned: %d reasons", p.Name, n)
+			}
+			return nil
+		},
+	}
+	c.Flags().StringVar(&view, "view", "", "file with the ledger's view (JSON), for a dry run")
+	c.Flags().BoolVar(&asJSON, "json", false, "print the dry run as JSON")
+	return c
+}
+
+func readView(path string) (*disruption.View, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	data, err := io.ReadAll(io.LimitReader(f, maxView+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(data) > maxView {
+		return nil, fmt.Errorf("%s: over %d bytes", path, maxView)
+	}
+	v := &disruption.View{}
+	if err := json.Unmarshal(data, v); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if len(v.Units) == 0 {
+		return nil, errors.New(path + ": it has no units")
+	}
+	return v, nil
+}
+
+// writeDry prints a dry run for people.
+func writeDry(out io.Writer, dry *plan.Preview) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "release %s, plan %s: at most %d out at once\n", dry.Name, dry.Hash, dry.MaxOut)
+	fmt.Fprintln(w, "wave\tunits\tmoved after it\tbake\twarmed anew\tnames")
+	for i, wave := range dry.Waves {
+		names := wave.Units
+		more := ""
+		if len(names) > 8 {
+			more = fmt.Sprintf(" and %d more", len(names)-8)
+			names = names[:8]
+		}
+		fmt.Fprintf(w, "%d\t%d\t%.0f%%\t%v s\t%.4g\t%v%s\n", i, len(wave.Units), 100*wave.Share, wave.Bake, wave.Cold, names, more)
+	}
+	for _, zone := range slices.Sorted(maps.Keys(dry.Stays)) {
+		c, name := dry.Stays[zone], "zone "+zone
+		if zone == "" {
+			name = "the fleet"
+		}
+		fmt.Fprintf(w, "%s keeps %.4g of a capacity of %.4g\n", name, c.Stays, c.All)
+	}
+	for _, why := range dry.Refused {
+		fmt.Fprintln(w, "refused:", why)
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/cmd/milldeck/release_test.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestReleaseCheck(t *testing.T) {
+	dir := t.TempDir()
+	file := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	const text = "name = \"r\"\non_halt = \"back\"\ndeadline_s = 600\n[what]\nserver = \"2\"\n[[wave]]\ncount = 1\nbake_s = 30\n[[wave]]\nbake_s = 30\n"
+	good := file("good.toml", text)
+	bad := file("bad.toml", strings.Replace(text, "count = 1", "cuont = 1", 1))
+	units := `"units":[{"id":"server/a1","kind":"server","zone":"a","capacity":1,"condition":"up"},{"id":"server/a2","kind":"server","zone":"a","capacity":1,"condition":"up"}]`
+	open := file("open.json", `{`+units+`}`)
+	shut := file("shut.json", `{"budgets":[{"name":"shut","select":{},"max_out":{"count":0},"max_cold":{}}],`+units+`}`)
+	for _, c := range []struct {
+		args []string
+		code int
+		want string
+	}{
+		{[]string{good}, 0, "release r, plan "},
+		{[]string{bad}, exitUsage, "bad.toml:7: wave.cuont: unknown key"},
+		{[]string{good, "--view", open}, 0, "the fleet keeps 1 of a capacity of 2"},
+		{[]string{good, "--view", shut}, exitFailed, `refused: budget "shut": max_out allows 0 of its 2 units out`},
+		{[]string{good, "--view", bad}, exitUsage, "--view: "},
+	} {
+		var out bytes.Buffer
+		code := execute(context.Background(), append([]string{"release", "check"}, c.args...), &out, &out)
+		if code != c.code || !strings.Contains(out.String(), c.want) {
+			t.Errorf("%v: exit code %d, %q; want %d and %q", c.args, code, out.String(), c.code, c.want)
+		}
+	}
+}
--- a/internal/release/begin.go
+++ b/internal/release/begin.go
@@ -10,11 +10,11 @@
 
 // New draws a release of a plan from the fleet and the platform as they are. What the dry run refuses is refused; so is a
 // unit that the platform does not list, as nobody could stop it, and one that is on the new version already is left out.
-func New(p *plan.Plan, run uint64, nowMS int64, units []disruption.Unit, budgets []disruption.Budget, l *supervisor.List) (*State, error) {
+func New(p *plan.Plan, nowMS int64, units []disruption.Unit, budgets []disruption.Budget, l *supervisor.List) (*State, error) {
 	if v := plan.Check(p, units, budgets); len(v.Refused) > 0 {
 		return nil, fmt.Errorf("release %s: %s", p.Name, v.Refused[0])
 	}
-	s := &State{Name: p.Name, Run: run, Plan: p, Hash: p.Hash(), StartMS: nowMS, Head: Head{Phase: Forward}}
+	s := &State{Name: p.Name, Plan: p, Hash: p.Hash(), StartMS: nowMS, Head: Head{Phase: Forward}}
 	moved := plan.Units(p, units)
 	byID := make(map[string]disruption.Unit, len(moved))
 	for _, u := range moved {
@@ -46,7 +46,7 @@
 
 // NewDrain draws a plain drain: the units that a selector names are emptied and stopped, one after the other within the
 // budgets, and stay out for good.
-func NewDrain(name string, sel disruption.Selector, deadlineS float64, run uint64, nowMS int64, units []disruption.Unit, l *supervisor.List) (*State, error) {
+func NewDrain(name string, sel disruption.Selector, deadlineS float64, nowMS int64, units []disruption.Unit, l *supervisor.List) (*State, error) {
 	if sel.Kind == "" {
 		sel.Kind = disruption.Server
 	}
@@ -55,7 +55,7 @@
 		Name: name, Select: sel, OnHalt: plan.Hold, Deadline: deadlineS, Waves: []plan.Wave{{}},
 		Limits: plan.Limits{MaxOut: disruption.Limit{Count: &n}}, // the budgets alone bound a drain
 	}
-	s := &State{Name: name, Run: run, Plan: p, Hash: p.Hash(), Drain: true, StartMS: nowMS, Head: Head{Phase: Forward}}
+	s := &State{Name: name, Plan: p, Hash: p.Hash(), Drain: true, StartMS: nowMS, Head: Head{Phase: Forward}}
 	for _, d := range units {
 		if !sel.Selects(&d) {
 			continue
--- a/internal/release/cases_test.go
+++ b/internal/release/cases_test.go
@@ -23,7 +23,7 @@
 
 func tell(t *testing.T, w *world, what string) {
 	t.Helper()
-	if err := w.table.Tell("r", Command{What: what, By: "operator/eva"}); err != nil {
+	if err := w.apply(&Op{Name: "r", Tell: &Command{What: what, By: "operator/eva"}}); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -198,15 +198,15 @@
 		t.Fatal(s.Head.Phase, err)
 	}
 	other := *first
-	other.Name, other.Run = "other", first.Run+1
-	if err := w.table.Start(&other); err == nil || !strings.Contains(err.Error(), "claimed by release r") {
+	other.Name = "other"
+	if err := w.apply(&Op{Start: &other}); err == nil || !strings.Contains(err.Error(), "claimed by release r") {
 		t.Errorf("another takes its units before it is final: %v", err)
 	}
 	tell(t, w, CmdBack)
 	if s, err := w.finish(&kill{at: -1}, 1000, nil); err != nil || s.Head.Phase != Backed {
 		t.Fatal(s.Head.Phase, err)
 	}
-	if err := w.table.Start(&other); err != nil {
+	if err := w.apply(&Op{Start: &other}); err != nil {
 		t.Errorf("another cannot have units that are back: %v", err)
 	}
 }
@@ -214,18 +214,18 @@
 func TestAnEditedPlanUnderWayIsRefused(t *testing.T) {
 	w := newWorld(t, disruption.Server, 2, 3, 2)
 	s := w.start(serverPlan)
-	if err := w.table.Start(s); err != nil {
+	if err := w.apply(&Op{Start: s}); err != nil {
 		t.Errorf("the same start again: %v", err)
 	}
 	p, err := plan.Parse("plan.toml", []byte(strings.Replace(serverPlan, `server = "2"`, `server = "3"`, 1)))
 	if err != nil {
 		t.Fatal(err)
 	}
-	edited, err := New(p, s.Run+1, w.now, w.ledger.Units(), w.ledger.Budgets(), w.list())
+	edited, err := New(p, w.now, w.ledger.Units(), w.ledger.Budgets(), w.list())
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := w.table.Start(edited); err == nil || !strings.Contains(err.Error(), "under way with another plan") {
+	if err := w.apply(&Op{Start: edited}); err == nil || !strings.Contains(err.Error(), "under way with another plan") {
 		t.Errorf("an edited plan is taken in: %v", err)
 	}
 }
@@ -272,9 +272,9 @@
 	}
 	w.start(half("r1", `"server/a0","server/a1","server/b0","server/b1"`))
 	w.start(half("r2", `"server/a2","server/b2","server/b3"`))
-	d, err := NewDrain("d", disruption.Selector{IDs: []string{"server/a3"}}, 3600, 5, w.now, w.ledger.Units(), w.list())
+	d, err := NewDrain("d", disruption.Selector{IDs: []string{"server/a3"}}, 3600, w.now, w.ledger.Units(), w.list())
 	if err == nil {
-		err = w.table.Start(d)
+		err = w.apply(&Op{Start: d})
 	}
 	if err != nil {
 		t.Fatal(err)
--- a/internal/release/faults_test.go
+++ b/internal/release/faults_test.go
@@ -1,6 +1,7 @@
 package release
 
 import (
+	"encoding/json"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -169,7 +170,7 @@
 						}
 					}
 					if i == back && back > 0 {
-						w.table.Tell("r", Command{What: CmdBack, By: "operator/eva"})
+						w.apply(&Op{Name: "r", Tell: &Command{What: CmdBack, By: "operator/eva"}})
 					}
 				})
 				if err != nil {
@@ -227,6 +228,9 @@
 		if k.fired && k.thaw == 0 && r.IntN(20) == 0 {
 			k.fired, k.at, k.mode = false, k.effect+r.IntN(60), []string{"before", "after", "frozen"}[r.IntN(3)]
 		}
+		if i%50 == 49 { // a replica that was restored from a snapshot goes on alike
+			w.restore()
+		}
 		if i < 400 && r.IntN(40) == 0 {
 			w.platform.SetFault([]core.Fault{
 				{Kind: core.Hang, ForMS: 5000}, {Kind: core.Fail, Count: 2}, {Kind: core.Half, On: core.OnDo}, {Kind: core.Lose, Count: 2},
@@ -241,10 +245,10 @@
 			crashed[n] = true
 		}
 		if i < 400 && r.IntN(80) == 0 {
-			w.table.Tell("r", Command{What: []string{CmdHalt, CmdResume}[r.IntN(2)], By: "operator/eva"})
+			w.apply(&Op{Name: "r", Tell: &Command{What: []string{CmdHalt, CmdResume}[r.IntN(2)], By: "operator/eva"}})
 		}
 		if i > 400 && s.Head.Phase == Held && i%50 == 0 {
-			w.table.Tell("r", Command{What: CmdBack, By: "operator/eva"})
+			w.apply(&Op{Name: "r", Tell: &Command{What: CmdBack, By: "operator/eva"}})
 		}
 		if n := w.planned(s); n > maxOut && tooMany == nil {
 			tooMany = fmt.Errorf("budget: %d units are out for planned reasons at tick %d, %d may be", n, i, maxOut)
@@ -257,6 +261,22 @@
 	return err
 }
 
+// restore takes the table through a snapshot.
+func (w *world) restore() {
+	data, err := json.Marshal(w.table.Save())
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	var s Saved
+	if err := json.Unmarshal(data, &s); err != nil {
+		w.t.Fatal(err)
+	}
+	claims := len(w.table.claims)
+	if w.table = Load(&s); len(w.table.claims) != claims {
+		w.t.Fatalf("%d claims after a restore, %d before", len(w.table.claims), claims)
+	}
+}
+
 // planned counts the units that are truly out and under a permit.
 func (w *world) planned(s *State) int {
 	n := 0
--- a/internal/release/kill_test.go
+++ b/internal/release/kill_test.go
@@ -71,9 +71,9 @@
 	if sc.drain {
 		sel := disruption.Selector{IDs: []string{"server/a0", "server/b1"}}
 		l := w.list()
-		s, e := NewDrain("r", sel, 3600, 77, w.now, w.ledger.Units(), l)
+		s, e := NewDrain("r", sel, 3600, w.now, w.ledger.Units(), l)
 		if e == nil {
-			e = w.table.Start(s)
+			e = w.apply(&Op{Start: s})
 		}
 		if e != nil {
 			t.Fatal(e)
@@ -83,7 +83,7 @@
 	}
 	s, effects := w.run("r", k, 2000, func(i int, _ *State) {
 		if sc.back > 0 && i == sc.back {
-			if e := w.table.Tell("r", Command{What: CmdBack, By: "operator/eva"}); e != nil {
+			if e := w.apply(&Op{Name: "r", Tell: &Command{What: CmdBack, By: "operator/eva"}}); e != nil {
 				t.Fatal(e)
 			}
 		}
--- a/internal/release/table.go
+++ b/internal/release/table.go
@@ -1,6 +1,7 @@
 package release
 
 import (
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -43,25 +44,52 @@
 	return &Table{releases: map[string]*State{}, commands: map[string][]Command{}, claims: map[string]string{}}
 }
 
-// Start takes a release in and claims its units. The same start again changes nothing; a release that is over makes room
-// for another of its name.
-func (t *Table) Start(s *State) error {
+// Op is one operation on the table: Start, or a Step or Tell of Name.
+type Op struct {
+	Name  string   `json:"name"`
+	Start *State   `json:"start,omitempty"`
+	Step  *Delta   `json:"step,omitempty"` // under the token of the duty Owner(Name)
+	Tell  *Command `json:"tell,omitempty"`
+}
+
+// Guarded tells whether an operation counts only under the owner's duty and token.
+func (op *Op) Guarded() bool { return op.Step != nil }
+
+// Apply takes one operation in; rev is its place in the log. An error says why it changed nothing.
+func (t *Table) Apply(rev uint64, op *Op) error {
+	switch {
+	case op == nil:
+		return errors.New("no operation")
+	case op.Start != nil:
+		return t.start(rev, op.Start)
+	case op.Step != nil:
+		return t.step(op.Name, *op.Step)
+	case op.Tell != nil:
+		return t.tell(op.Name, *op.Tell)
+	}
+	return errors.New("no operation")
+}
+
+// start takes a release in and claims its units; its run is the revision. The same start again changes nothing; a release
+// that is over and needs its units no more makes room for another of its name.
+func (t *Table) start(rev uint64, s *State) error {
+	if s.Plan == nil || !validName(s.Name) || s.Hash != s.Plan.Hash() {
+		return errors.New("a release has a name of 1 to 64 characters, a plan, and that plan's hash")
+	}
 	if old := t.releases[s.Name]; old != nil {
 		switch {
-		case old.Run == s.Run && old.Hash == s.Hash:
+		case old.Hash == s.Hash && !old.Head.Phase.Over():
 			return nil
-		case old.Hash != s.Hash && !old.Head.Phase.Over():
-			return fmt.Errorf("release %s is under way with another plan (%s, not %s): send it back or let it end first", s.Name, old.Hash, s.Hash)
 		case !old.Head.Phase.Over():
-			return fmt.Errorf("release %s is under way", s.Name)
+			return fmt.Errorf("release %s is under way with another plan (%s, not %s): send it back or let it end first", s.Name, old.Hash, s.Hash)
 		case !old.free():
 			return fmt.Errorf("release %s is %s and may go back still: finalize it first", s.Name, old.Head.Phase)
 		}
 	} else if len(t.releases) >= maxReleases && !t.forget() {
 		return fmt.Errorf("%d releases are under way", maxReleases)
 	}
-	if len(s.Units) > maxUnits {
-		return fmt.Errorf("release %s has %d units, at most %d can be", s.Name, len(s.Units), maxUnits)
+	if len(s.Units) == 0 || len(s.Units) > maxUnits {
+		return fmt.Errorf("release %s has %d units, 1 to %d can be", s.Name, len(s.Units), maxUnits)
 	}
 	for i := range s.Units {
 		if by, taken := t.claims[s.Units[i].ID]; taken && by != s.Name {
@@ -72,16 +100,17 @@
 		t.claims[s.Units[i].ID] = s.Name
 	}
 	c := *s
-	c.Units = slices.Clone(s.Units)
-	t.releases[s.Name], t.commands[s.Name] = &c, nil
+	c.Units, c.Run, c.Seq, c.Head = slices.Clone(s.Units), rev, 0, Head{Phase: Forward}
+	t.releases[s.Name] = &c
+	delete(t.commands, s.Name)
 	return nil
 }
 
 // free tells whether a release needs its units no more: it is back, or over and final.
 func (s *State) free() bool { return s.Head.Phase == Backed || s.Head.Phase.Over() && s.Head.Final }
 
-// Step takes a step in. A release that may still go back keeps its claims.
-func (t *Table) Step(name string, d Delta) error {
+// step takes a step in. A release that may still go back keeps its claims.
+func (t *Table) step(name string, d Delta) error {
 	s := t.releases[name]
 	if s == nil {
 		return fmt.Errorf("there is no release %s", name)
@@ -95,8 +124,8 @@
 	return nil
 }
 
-// Tell takes an operator's command in. It counts once the release's controller has taken it up.
-func (t *Table) Tell(name string, c Command) error {
+// tell takes an operator's command in. It counts once the release's controller has taken it up.
+func (t *Table) tell(name string, c Command) error {
 	s := t.releases[name]
 	switch {
 	case s == nil:
@@ -138,3 +167,40 @@
 	delete(t.commands, oldest.Name)
 	return true
 }
+
+// Saved is the table as it is kept in a snapshot.
+type Saved struct {
+	Releases []*State             `json:"releases"` // by name
+	Commands map[string][]Command `json:"commands,omitempty"`
+}
+
+// Save gives the whole table, in a fixed order. What it holds is shared with the table until that is next changed.
+func (t *Table) Save() *Saved {
+	s := &Saved{Releases: []*State{}, Commands: t.commands}
+	for _, name := range t.Names() {
+		s.Releases = append(s.Releases, t.releases[name])
+	}
+	return s
+}
+
+// Load makes a table of what was saved; nil is the empty one. Claims follow from the releases.
+func Load(s *Saved) *Table {
+	t := NewTable()
+	if s == nil {
+		return t
+	}
+	for _, r := range s.Releases {
+		t.releases[r.Name] = r
+		if cmds := s.Commands[r.Name]; len(cmds) > 0 {
+			t.commands[r.Name] = cmds
+		}
+		for i := range r.Units {
+			if !r.free() {
+				t.claims[r.Units[i].ID] = r.Name
+			}
+		}
+	}
+	return t
+}
+
+func validName(s string) bool { return s != "" && len(s) <= 64 }
--- a/internal/release/world_test.go
+++ b/internal/release/world_test.go
@@ -106,6 +106,12 @@
 	return w.ledger.Apply(w.rev, op)
 }
 
+// apply has the releases' table take an operation in.
+func (w *world) apply(op *Op) error {
+	w.rev++
+	return w.table.Apply(w.rev, op)
+}
+
 func (w *world) id(name string) string {
 	for _, id := range w.ids {
 		if strings.HasSuffix(id, "/"+name) {
@@ -203,14 +209,14 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	w.rev++
-	s, err := New(p, w.rev, w.now, w.ledger.Units(), w.ledger.Budgets(), l)
+	s, err := New(p, w.now, w.ledger.Units(), w.ledger.Budgets(), l)
 	if err == nil {
-		err = w.table.Start(s)
+		err = w.apply(&Op{Start: s})
 	}
 	if err != nil {
 		w.t.Fatal(err)
 	}
+	s, _ = w.table.Get(s.Name)
 	return s
 }
 
@@ -310,7 +316,7 @@
 			c.unwritten = append(c.unwritten, e.Delta)
 			return
 		}
-		if current && w.table.Step(c.name, e.Delta) == nil && !lost {
+		if current && w.apply(&Op{Name: c.name, Step: &e.Delta}) == nil && !lost {
 			s, _ := w.table.Get(c.name)
 			c.state.Apply(e.Delta)
 			if c.state.Seq != s.Seq {
@@ -324,7 +330,7 @@
 func (c *controller) flush() {
 	for _, d := range c.unwritten {
 		if c.token == c.w.token {
-			c.w.table.Step(c.name, d)
+			c.w.apply(&Op{Name: c.name, Step: &d})
 		}
 	}
 	c.unwritten = nil
