--- a/internal/release/core.go
+++ b/internal/release/core.go
@@ -73,6 +73,9 @@
 // Step tells what is to be done now, and what is to be written then. It changes nothing; nothing to do gives none.
 func (s *State) Step(v *View) []Effect {
 	c := &stepper{s: s, v: v, head: s.Head}
+	if s.Head.Token != v.Token {
+		c.takeOver()
+	}
 	c.commands()
 	c.guards()
 	if !s.Head.Phase.Over() {
@@ -90,6 +93,16 @@
 	return c.effects
 }
 
+// takeOver begins all patience anew: the clock that wrote the times may have been another.
+func (c *stepper) takeOver() {
+	for i := range c.s.Units {
+		if u := c.s.Units[i]; u.flying() {
+			u.SinceMS = c.v.NowMS
+			c.put(i, u)
+		}
+	}
+}
+
 // stepper is one step under way. What it does follows from s, as it is written; what it decides goes into head and next.
 type stepper struct {
 	s       *State
--- a/internal/release/figures_test.go
+++ b/internal/release/figures_test.go
@@ -52,21 +52,18 @@
 	r     *rand.Rand
 	w     *world
 	harm  harmful
-	judge *judge.Judge
-	wave  int
-	last  judge.Verdict
+	watch *Watch
 	calls int
 }
 
 func (o *observer) verdict(s *State) judge.Verdict {
-	if o.judge == nil || o.wave != s.Head.Wave {
-		o.judge, o.wave = judge.New(SettingsOf(s.Plan, 8)), s.Head.Wave
+	if o.watch == nil {
+		o.watch = NewWatch(8)
 	}
-	if o.calls++; o.calls%2 == 0 { // a tick is half a second
-		return o.last
+	if o.calls++; o.calls%2 == 1 { // a tick is half a second
+		o.watch.Add(s, o.interval())
 	}
-	o.last = o.judge.Add(o.interval())
-	return o.last
+	return o.watch.Verdict(s)
 }
 
 func (o *observer) interval() judge.Interval {
--- a/internal/release/guards.go
+++ b/internal/release/guards.go
@@ -17,19 +17,55 @@
 	falseAlarms      = 0.01
 )
 
-// SettingsOf are a judge's settings for one wave of a plan, of so many classes × zones: the plan's false alarms are
-// shared among its waves. A successor's watch of a wave begins anew, and so does its share.
-func SettingsOf(p *plan.Plan, strata int) judge.Settings {
+// settingsOf are a judge's settings for one watch of a plan, of so many classes × zones: the plan's false alarms are
+// shared among its watches, which are two of each wave, and one more each time that it is widened.
+func settingsOf(p *plan.Plan, strata int) judge.Settings {
 	or := func(v *float64, otherwise float64) float64 {
 		if v == nil {
 			return otherwise
 		}
 		return *v
 	}
-	g := &p.Guards
+	g, watches := &p.Guards, 0
+	for _, w := range p.Waves {
+		watches += 2 + w.Widen
+	}
 	return judge.Settings{
 		Served: or(g.Served, tolerateServed), Late: or(g.Late, tolerateLate), Failed: or(g.Failed, tolerateFailed),
 		Latency: or(g.Latency, tolerateLatency), Restarts: or(g.Restarts, tolerateRestarts), Memory: or(g.Memory, tolerateMemory),
-		FalseAlarms: or(g.FalseAlarms, falseAlarms) / float64(max(len(p.Waves), 1)), Strata: strata,
+		FalseAlarms: or(g.FalseAlarms, falseAlarms) / float64(watches), Strata: strata,
+	}
+}
+
+// Watch is a controller's watch of a release. While a wave goes out it looks for harm alone; once the wave is at rest a
+// watch begins anew, so that a pass rests on what all of its units have done. It is soft: a successor begins anew too.
+type Watch struct {
+	strata int
+	judge  *judge.Judge
+	wave   int
+	bakeMS int64
+	last   judge.Verdict
+}
+
+// NewWatch makes a watch of so many classes × zones.
+func NewWatch(strata int) *Watch { return &Watch{strata: strata} }
+
+// Add takes an interval in and says how the wave stands.
+func (w *Watch) Add(s *State, in judge.Interval) judge.Verdict {
+	if w.judge == nil || w.wave != s.Head.Wave || w.bakeMS != s.Head.BakeMS {
+		w.judge, w.wave, w.bakeMS = judge.New(settingsOf(s.Plan, w.strata)), s.Head.Wave, s.Head.BakeMS
+	}
+	w.last = w.judge.Add(in)
+	return w.last
+}
+
+// Verdict is the last one, of the wave and bake that the release stands in; none where it has gone on since.
+func (w *Watch) Verdict(s *State) judge.Verdict {
+	if w.judge == nil || w.wave != s.Head.Wave || w.bakeMS != s.Head.BakeMS {
+		return judge.Verdict{}
+	}
+	if w.bakeMS == 0 && w.last.Kind == judge.Pass {
+		return judge.Verdict{Kind: judge.Wait, Why: "the wave is still on its way"}
 	}
+	return w.last
 }
