--- a/internal/registry/record.go
+++ b/internal/registry/record.go
@@ -15,6 +15,7 @@
 
 	"milldeck/internal/duty/table"
 	"milldeck/internal/placement"
+	"milldeck/internal/release"
 )
 
 // Target is an instance in the form in which PROTOCOL's discovery lists it.
@@ -110,6 +111,7 @@
 	OpEpoch      Op = "epoch"      // Epoch: this list does not continue the one before
 	OpDuty       Op = "duty"       // Duty
 	OpPlacement  Op = "placement"  // Placement, under its owner's Guard or the leader's own
+	OpRelease    Op = "release"    // Release; a step of it under its owner's Guard
 	OpFollow     Op = "follow"     // Instances and Refs: set and removed unchecked, by an agent that follows a registry
 )
 
@@ -133,6 +135,7 @@
 	Guard     *Guard     `json:"guard,omitempty"` // the write counts only under this duty's token
 
 	Placement *placement.Op `json:"placement,omitempty"`
+	Release   *release.Op   `json:"release,omitempty"`
 }
 
 // recordVersion is the first byte of a record; a newer one is refused, an older one read.
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -14,6 +14,7 @@
 
 	"milldeck/internal/duty/table"
 	"milldeck/internal/placement"
+	"milldeck/internal/release"
 )
 
 // Bounds of what the state keeps.
@@ -60,11 +61,13 @@
 	order     []string // of writes, oldest first
 	duties    *table.Table
 	places    *placement.Table
+	releases  *release.Table
 }
 
 // NewState is the empty state.
 func NewState() *State {
-	return &State{instances: map[string]*Instance{}, writes: map[string]Result{}, duties: table.New(), places: placement.New()}
+	return &State{instances: map[string]*Instance{}, writes: map[string]Result{}, duties: table.New(), places: placement.New(),
+		releases: release.NewTable()}
 }
 
 // Rev is the revision of the list.
@@ -121,6 +124,8 @@
 		return s.doDuty(index, r.Duty)
 	case OpPlacement:
 		return s.doPlacement(index, r)
+	case OpRelease:
+		return s.doRelease(index, r)
 	case OpRegister:
 		return s.register(index, r)
 	case OpState, OpDeregister:
@@ -328,12 +333,13 @@
 	Order     []string          `json:"order"`
 	Duties    []*table.Duty     `json:"duties,omitempty"`
 	Placement *placement.Saved  `json:"placement,omitempty"`
+	Releases  *release.Saved    `json:"releases,omitempty"`
 }
 
 // Snapshot writes the state. History is left out: watches that come back after a restore get the whole list.
 func (s *State) Snapshot(w io.Writer) error {
 	snap := snapshot{Rev: s.rev, Applied: s.applied, Epoch: s.epoch, Instances: []*Instance{}, Writes: s.writes, Order: s.order,
-		Duties: s.duties.Save(), Placement: s.places.Save()}
+		Duties: s.duties.Save(), Placement: s.places.Save(), Releases: s.releases.Save()}
 	for _, uid := range slices.Sorted(maps.Keys(s.instances)) {
 		snap.Instances = append(snap.Instances, s.instances[uid])
 	}
@@ -388,6 +394,7 @@
 	}
 	s.duties = table.Load(snap.Duties)
 	s.places = placement.Load(snap.Placement, snap.Epoch)
+	s.releases = release.Load(snap.Releases)
 	if snap.Writes != nil {
 		s.writes, s.order = snap.Writes, snap.Order
 	}
