Release driver: looks, does and writes while the duty is held; proof of emptiness, intervals from reports

The pure core needs a process around it. The driver meets list service, ledger, platform and reports by small interfaces. Tested with the real tables and the platform's core on a virtual clock: drivers that follow one another at 40 moments, calls whose answers are lost, a version that fails at start.

--- /dev/null
+++ b/internal/release/drive/drive.go
@@ -0,0 +1,292 @@
+// Package drive carries a release out: it looks at the list service, the platform and the sidecars' reports, has the pure
+// core decide, does what it says and writes its steps, for as long as the release's duty is held.
+package drive
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"milldeck/internal/collect"
+	"milldeck/internal/disruption"
+	"milldeck/internal/duty"
+	"milldeck/internal/placement"
+	"milldeck/internal/registry"
+	"milldeck/internal/release"
+	"milldeck/internal/supervisor"
+)
+
+const (
+	stepEvery  = 500 * time.Millisecond // between two steps: a unit takes some ten of them
+	callWait   = 3 * time.Second        // for one look or write; an election of the list service takes about two
+	firstPause = 500 * time.Millisecond
+	mostPause  = 5 * time.Second
+	judgeEvery = time.Second      // an interval of the judge
+	cohortFor  = 60 * time.Second // a cohort's entry ends so long after it was last placed
+	placeEvery = 20 * time.Second // two placings of it may fail
+)
+
+// Store is the list service; registry.Client is most of one.
+type Store interface {
+	Release(ctx context.Context, name string, brief, fresh bool) (registry.ReleaseView, error)
+	WriteRelease(ctx context.Context, w registry.Write, name string, op release.Op) (registry.Result, error)
+	List(ctx context.Context, fresh bool) (registry.List, error)
+	SetState(ctx context.Context, w registry.Write, uid, state string) (registry.Result, error)
+	SetPlacement(ctx context.Context, w registry.Write, atMS int64, set []placement.Entry, drop ...string) (registry.Result, error)
+	// Ledger reads the ledger with all its units, as no later write has changed it.
+	Ledger(ctx context.Context) (disruption.View, error)
+	// WriteLedger writes an operation; a refusal is a registry.StatusError.
+	WriteLedger(ctx context.Context, w registry.Write, op disruption.Op) (registry.Result, error)
+}
+
+// Reports is where sidecars' reports come from; collect.Collector is one.
+type Reports interface {
+	SetOpen(open bool)
+	Snapshot() ([]collect.Seen, time.Duration)
+}
+
+// Driver carries out the release Name. Its Work is what duty.Run calls for the duty release.Owner(Name).
+type Driver struct {
+	Name     string
+	Store    Store
+	Platform supervisor.Supervisor
+	Reports  Reports
+	// Longest is the longest that a request may take at the servers: the largest hard limit of the settings.
+	Longest time.Duration
+	// Strata is how many classes × zones there are, among which the judge's false alarms are shared.
+	Strata int
+	// File gives the text of a unit's configuration, which has to be the same each time.
+	File func(unit, config string) (string, error)
+	// Made has what stands only on a server made ready elsewhere, and tells whether it is; nil: nothing does.
+	Made func(ctx context.Context, unit string) (bool, error)
+}
+
+// tenure is one holding of the duty. What it keeps is soft: the next holder begins from the log.
+type tenure struct {
+	*Driver
+	guard   *registry.Guard
+	state   *release.State
+	told    []release.Command
+	answers map[string]supervisor.Outcome
+	denied  map[string]string
+	made    map[string]bool
+	watch   *release.Watch
+	empty   *release.Emptiness
+	began   time.Time
+	judged  time.Time
+	placed  time.Time
+	cohort  []string
+	before  *supervisor.List // of the last interval
+	seen    map[string]time.Duration
+}
+
+// Work carries the release out until it is back, or over and final, or ctx ends.
+func (d *Driver) Work(ctx context.Context, l *duty.Lease) error {
+	d.Reports.SetOpen(true)
+	defer d.Reports.SetOpen(false)
+	t := &tenure{Driver: d, guard: l.Guard(), answers: map[string]supervisor.Outcome{}, denied: map[string]string{}, made: map[string]bool{},
+		watch: release.NewWatch(d.Strata), empty: release.NewEmptiness(d.Longest.Milliseconds()), began: time.Now(), seen: map[string]time.Duration{}}
+	pause := time.Duration(0)
+	for {
+		switch err := t.step(ctx); {
+		case ctx.Err() != nil:
+			return context.Cause(ctx)
+		case err != nil:
+			pause = min(max(2*pause, firstPause), mostPause)
+			slog.Warn("release waits", "release", d.Name, "again_in", pause, "error", err)
+		default:
+			pause = 0
+		}
+		if t.state != nil && (t.state.Head.Final || t.state.Head.Phase == release.Backed) {
+			return nil
+		}
+		wait := stepEvery
+		if pause > 0 {
+			wait = pause/2 + rand.N(pause/2)
+		}
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-time.After(wait):
+		}
+	}
+}
+
+// step looks, decides, does and writes. What fails of the doing is found undone by the next step.
+func (t *tenure) step(ctx context.Context) error {
+	if err := t.load(ctx); err != nil {
+		return err
+	}
+	v, err := t.look(ctx)
+	if err != nil {
+		return err
+	}
+	effects := t.state.Step(v)
+	var calls []supervisor.Request
+	for _, e := range effects {
+		if do, is := e.(release.Do); is {
+			calls = append(calls, do.Request)
+		}
+	}
+	t.call(ctx, calls)
+	for _, e := range effects {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		switch e := e.(type) {
+		case release.Ledger:
+			t.ledger(ctx, e.Op)
+		case release.Prepare:
+			t.prepare(ctx, e.Unit)
+		case release.Terminate:
+			t.setState(ctx, e.Unit, registry.Terminating)
+		case release.Restore:
+			t.setState(ctx, e.Unit, registry.Ready)
+		case release.Write:
+			if err := t.write(ctx, e.Delta); err != nil {
+				return err
+			}
+		}
+	}
+	t.place(ctx)
+	return nil
+}
+
+func limited(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, callWait)
+}
+
+// load reads the release whole where it is not known, and what operators have told it since.
+func (t *tenure) load(ctx context.Context) error {
+	ctx, stop := limited(ctx)
+	defer stop()
+	v, err := t.Store.Release(ctx, t.Name, t.state != nil, true)
+	if err != nil {
+		return fmt.Errorf("release %s: %w", t.Name, err)
+	}
+	if v.State == nil {
+		return fmt.Errorf("release %s: there is none", t.Name)
+	}
+	t.told = v.Told
+	if t.state != nil && (v.Seq != t.state.Seq || v.Run != t.state.Run) {
+		t.state = nil // written by another: its token counts, not this one's, or the log has another history
+		return fmt.Errorf("release %s: it was written by another", t.Name)
+	}
+	if t.state == nil {
+		t.state = v.State
+	}
+	return nil
+}
+
+// write puts a step into the log. Where it is not known whether it got there, the log is read again.
+func (t *tenure) write(ctx context.Context, d release.Delta) error {
+	ctx, stop := limited(ctx)
+	defer stop()
+	if _, err := t.Store.WriteRelease(ctx, registry.Write{Guard: t.guard}, t.Name, release.Op{Step: &d}); err != nil {
+		t.state = nil
+		return fmt.Errorf("release %s: step %d: %w", t.Name, d.Seq, err)
+	}
+	if err := t.state.Apply(d); err != nil {
+		t.state = nil
+		return err
+	}
+	if d.Head != nil {
+		slog.Info("release", "release", t.Name, "phase", d.Head.Phase, "wave", d.Head.Wave, "why", d.Head.Why)
+	}
+	return nil
+}
+
+// call asks the platform. Who has no configuration is not asked for: its step waits, and says why in the log.
+func (t *tenure) call(ctx context.Context, calls []supervisor.Request) {
+	var ready []supervisor.Request
+	for _, r := range calls {
+		if r.Config != "" && t.File != nil {
+			text, err := t.File(r.Unit, r.Config)
+			if err != nil {
+				slog.Warn("no configuration", "release", t.Name, "unit", r.Unit, "error", err)
+				continue
+			}
+			r.File = text
+		}
+		if ready = append(ready, r); len(ready) == supervisor.MostRequests {
+			break
+		}
+	}
+	if len(ready) == 0 {
+		return
+	}
+	ctx, stop := limited(ctx)
+	defer stop()
+	out, err := t.Platform.Do(ctx, ready...)
+	if err != nil {
+		slog.Warn("platform", "release", t.Name, "error", err)
+		return
+	}
+	for _, o := range out {
+		t.answers[o.ID] = o
+	}
+}
+
+func (t *tenure) ledger(ctx context.Context, op disruption.Op) {
+	ctx, stop := limited(ctx)
+	defer stop()
+	_, err := t.Store.WriteLedger(ctx, registry.Write{Guard: t.guard}, op)
+	var status *registry.StatusError
+	switch {
+	case err == nil:
+		delete(t.denied, op.Permit.ID)
+	case op.Kind == disruption.OpAsk && errors.As(err, &status) && (status.Status == http.StatusConflict || status.Status == http.StatusNotFound):
+		t.denied[op.Permit.ID] = status.Text
+	default:
+		slog.Debug("ledger", "release", t.Name, "kind", op.Kind, "permit", op.Permit.ID, "error", err)
+	}
+}
+
+func (t *tenure) setState(ctx context.Context, id, state string) {
+	ctx, stop := limited(ctx)
+	defer stop()
+	if _, err := t.Store.SetState(ctx, registry.Write{Guard: t.guard}, uid(id), state); err != nil {
+		slog.Debug("state not set", "release", t.Name, "unit", id, "state", state, "error", err)
+	}
+}
+
+func (t *tenure) prepare(ctx context.Context, id string) {
+	if t.Made == nil {
+		return
+	}
+	ctx, stop := limited(ctx)
+	defer stop()
+	made, err := t.Made(ctx, uid(id))
+	if err != nil {
+		slog.Debug("not made ready elsewhere", "release", t.Name, "unit", id, "error", err)
+	}
+	t.made[id] = made && err == nil
+}
+
+// place has sidecars count the new version's servers apart, anew before the entry ends.
+func (t *tenure) place(ctx context.Context) {
+	moved := t.state.Moved()
+	if len(moved) > placement.MaxServers {
+		moved = moved[:placement.MaxServers]
+	}
+	same := len(moved) == len(t.cohort)
+	for i := 0; same && i < len(moved); i++ {
+		same = moved[i] == t.cohort[i]
+	}
+	if len(moved) == 0 || t.state.Plan.What.Server == "" || same && time.Since(t.placed) < placeEvery {
+		return
+	}
+	ctx, stop := limited(ctx)
+	defer stop()
+	now := time.Now()
+	e := placement.Entry{ID: t.state.CohortID(), Kind: placement.Cohort, Name: t.Name, Servers: moved, UntilMS: now.Add(cohortFor).UnixMilli()}
+	if _, err := t.Store.SetPlacement(ctx, registry.Write{Guard: t.guard}, now.UnixMilli(), []placement.Entry{e}); err != nil {
+		slog.Debug("cohort not placed", "release", t.Name, "error", err)
+		return
+	}
+	t.cohort, t.placed = moved, now
+}
--- /dev/null
+++ b/internal/release/drive/drive_test.go
@@ -0,0 +1,357 @@
+package drive
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"milldeck/internal/collect"
+	"milldeck/internal/disruption"
+	"milldeck/internal/duty"
+	"milldeck/internal/placement"
+	"milldeck/internal/registry"
+	"milldeck/internal/release"
+	"milldeck/internal/release/plan"
+	"milldeck/internal/supervisor"
+	"milldeck/internal/supervisor/core"
+	"milldeck/internal/supervisor/fake"
+)
+
+// fleet is a list service in memory with the real tables, a platform in virtual time, and sidecars that report. Time is
+// that of the bubble.
+type fleet struct {
+	mu        sync.Mutex
+	rev       uint64
+	token     uint64
+	ledger    *disruption.Table
+	releases  *release.Table
+	platform  *fake.Platform
+	servers   map[string]*registry.Target
+	launches  map[string]int
+	boots     map[string]int64
+	versions  map[string]string
+	cohort    []string
+	broken    bool // the new version fails at start
+	stoppedIn []string
+	failEvery int // of the calls to the store
+	calls     int
+}
+
+var names = []string{"a1", "a2", "a3", "b1", "b2", "b3"}
+
+func newFleet() *fleet {
+	f := &fleet{ledger: disruption.New(), releases: release.NewTable(), servers: map[string]*registry.Target{}, launches: map[string]int{},
+		boots: map[string]int64{}, versions: map[string]string{}}
+	now := time.Now().UnixMilli()
+	server := func(v string) core.Version { return core.Version{Kind: supervisor.Server, Name: v} }
+	f.platform = fake.New(fake.Options{Versions: map[core.Version]fake.Version{
+		server("1"): {Behave: f.behave}, server("2"): {Behave: f.behave}}}, now)
+	l, _ := f.platform.List(context.Background())
+	for i, n := range names {
+		f.servers[n] = &registry.Target{UID: n, Zone: n[:1], State: registry.Ready, Capacity: 1, Pod: i % 3}
+		f.platform.Do(context.Background(), supervisor.Request{ID: "first-" + n, Op: supervisor.Start, Memory: l.Memory, Unit: n,
+			Kind: supervisor.Server, Version: "1", Listen: "127.0.0.1:7000", Zone: n[:1]})
+	}
+	one := 1
+	f.rev = 100
+	f.ledger.Apply(f.rev, &disruption.Op{Kind: disruption.OpBudget, Owner: "operator/ci", Budget: &disruption.Budget{Name: "all",
+		Select: disruption.Selector{Kind: disruption.Server}, MaxOut: disruption.Limit{Count: &one}}})
+	return f
+}
+
+// behave is told of each launch, within the platform's lock.
+func (f *fleet) behave(u supervisor.Unit) fake.Life {
+	f.launches[u.Name+" "+u.Version]++
+	f.boots[u.Name], f.versions[u.Name] = int64(len(f.launches)), u.Version
+	if f.broken && u.Version == "2" {
+		return fake.Life{ReadyMS: -1, EndsMS: 50, Exit: "exit status 1"}
+	}
+	return fake.Life{ReadyMS: 300, StopMS: 200}
+}
+
+// live has a quarter of a second pass for servers and sidecars.
+func (f *fleet) live() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.platform.Advance(time.Now().UnixMilli())
+	l, _ := f.platform.List(context.Background())
+	for _, n := range names {
+		t := f.servers[n]
+		at := l.Find(n)
+		f.rev++
+		id := disruption.UnitID(disruption.Server, n)
+		if at == nil || at.State == supervisor.Exited {
+			f.ledger.Lose(f.rev, id)
+			continue
+		}
+		if boot := float64(f.boots[n]); t.BootMS != boot {
+			t.BootMS, t.State = boot, registry.Ready
+		}
+		u := disruption.Unit{ID: id, Kind: disruption.Server, Zone: t.Zone, Pod: t.Pod, Capacity: 1, BootMS: t.BootMS, Version: f.versions[n], Condition: disruption.Up}
+		if t.State == registry.Terminating {
+			u.Condition = disruption.Draining
+		}
+		f.ledger.Register(f.rev, u)
+		if at.State == supervisor.Running && u.Condition == disruption.Up {
+			f.rev++
+			f.ledger.Apply(f.rev, &disruption.Op{Kind: disruption.OpSee, Owner: "prober", Seen: []disruption.Unit{{ID: id, Condition: disruption.Up}}})
+		}
+	}
+	for _, s := range []string{"s1", "s2"} {
+		f.rev++
+		f.ledger.Register(f.rev, disruption.Unit{ID: disruption.UnitID(disruption.Sidecar, s), Kind: disruption.Sidecar, Zone: "a", Capacity: 1, Condition: disruption.Up})
+	}
+}
+
+func (f *fleet) SetOpen(bool) {}
+
+// Snapshot is a report of both sidecars, who have the list as it is.
+func (f *fleet) Snapshot() ([]collect.Seen, time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []collect.Seen
+	for _, s := range []string{"s1", "s2"} {
+		r := placement.Report{Name: s, Zone: "a", List: f.rev}
+		for _, cohort := range []string{"", "r"} {
+			for _, zone := range []string{"a", "b"} {
+				r.Counts = append(r.Counts, placement.Count{Class: "c", Zone: zone, Cohort: cohort, Served: 400, Latency: []uint32{300, 60, 40}})
+			}
+		}
+		out = append(out, collect.Seen{Report: r, At: time.Duration(time.Now().UnixMilli())})
+	}
+	return out, 0
+}
+
+// fails has some calls fail without their outcome being known.
+func (f *fleet) fails() error {
+	f.calls++
+	if f.failEvery > 0 && f.calls%f.failEvery == 0 {
+		return errors.New("no answer in time")
+	}
+	return nil
+}
+
+func (f *fleet) guarded(w registry.Write) error {
+	if w.Guard == nil || w.Guard.Token != f.token {
+		return &registry.StatusError{Status: http.StatusConflict, Text: "the token counts no more"}
+	}
+	f.rev++
+	return nil
+}
+
+func (f *fleet) Release(_ context.Context, name string, _, _ bool) (registry.ReleaseView, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, told := f.releases.Get(name)
+	c := *s
+	c.Units = append([]release.Unit(nil), s.Units...)
+	return registry.ReleaseView{State: &c, Told: told}, f.fails()
+}
+
+func (f *fleet) WriteRelease(_ context.Context, w registry.Write, name string, op release.Op) (registry.Result, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.guarded(w); err != nil {
+		return registry.Result{}, err
+	}
+	op.Name = name
+	if err := f.releases.Apply(f.rev, &op); err != nil {
+		return registry.Result{}, &registry.StatusError{Status: http.StatusConflict, Text: err.Error()}
+	}
+	return registry.Result{}, f.fails()
+}
+
+func (f *fleet) List(context.Context, bool) (registry.List, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l := registry.List{Rev: f.rev}
+	for _, n := range names {
+		l.Targets = append(l.Targets, *f.servers[n])
+	}
+	return l, nil
+}
+
+func (f *fleet) SetState(_ context.Context, w registry.Write, uid, state string) (registry.Result, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.guarded(w); err != nil {
+		return registry.Result{}, err
+	}
+	f.servers[uid].State = state
+	return registry.Result{}, f.fails()
+}
+
+func (f *fleet) SetPlacement(_ context.Context, w registry.Write, _ int64, set []placement.Entry, _ ...string) (registry.Result, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.guarded(w); err != nil {
+		return registry.Result{}, err
+	}
+	f.cohort = set[0].Servers
+	return registry.Result{}, set[0].Check()
+}
+
+func (f *fleet) Ledger(context.Context) (disruption.View, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ledger.View(true), nil
+}
+
+func (f *fleet) WriteLedger(_ context.Context, w registry.Write, op disruption.Op) (registry.Result, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.guarded(w); err != nil {
+		return registry.Result{}, err
+	}
+	if out, why := f.ledger.Apply(f.rev, &op); out != disruption.Done {
+		return registry.Result{}, &registry.StatusError{Status: http.StatusConflict, Text: why}
+	}
+	return registry.Result{}, f.fails()
+}
+
+// Do and List of the platform are met under the fleet's lock, as its launches are noted there.
+type platform struct{ *fleet }
+
+func (p platform) Do(ctx context.Context, reqs ...supervisor.Request) ([]supervisor.Outcome, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range reqs {
+		if t := p.servers[r.Unit]; r.Op == supervisor.Stop && t.State != registry.Terminating && !p.broken {
+			p.stoppedIn = append(p.stoppedIn, r.Unit)
+		}
+	}
+	out, err := p.platform.Do(ctx, reqs...)
+	if err == nil {
+		err = p.fails()
+	}
+	return out, err
+}
+
+func (p platform) List(ctx context.Context) (*supervisor.List, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.platform.List(ctx)
+}
+
+// play carries a release out over drivers that follow one another, each cancelled after some steps.
+func (f *fleet) play(t *testing.T, tenures int) *release.State {
+	t.Helper()
+	p, err := plan.Parse("p.toml", []byte("name = \"r\"\non_halt = \"back\"\ndeadline_s = 3600\n[what]\nserver = \"2\"\n[[wave]]\ncount = 1\nbake_s = 10\n[[wave]]\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 20 {
+		time.Sleep(250 * time.Millisecond)
+		f.live()
+	}
+	l, _ := f.platform.List(context.Background())
+	s, err := release.New(p, time.Now().UnixMilli(), f.ledger.Units(), f.ledger.Budgets(), l)
+	if err == nil {
+		f.rev++
+		err = f.releases.Apply(f.rev, &release.Op{Start: s})
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	var around sync.WaitGroup
+	around.Go(func() {
+		for ctx.Err() == nil {
+			time.Sleep(250 * time.Millisecond)
+			f.live()
+		}
+	})
+	defer around.Wait()
+	defer stop()
+	for i := range 400 {
+		f.mu.Lock()
+		f.token++
+		token := f.token
+		s, _ := f.releases.Get("r")
+		over := s.Head.Phase.Over()
+		f.mu.Unlock()
+		if over {
+			return s
+		}
+		limit := time.Duration(1000+i*370) * time.Millisecond
+		if i >= tenures {
+			limit = 20 * time.Minute
+		}
+		ctx, stop := context.WithTimeout(t.Context(), limit)
+		d := &Driver{Name: "r", Store: f, Platform: platform{f}, Reports: f, Longest: 2 * time.Second, Strata: 2}
+		done := make(chan error, 1)
+		go func() { done <- d.Work(ctx, &duty.Lease{Name: release.Owner("r"), Token: token}) }()
+		for ended := false; !ended; {
+			select {
+			case <-done:
+				ended = true
+			case <-time.After(time.Second):
+				f.mu.Lock()
+				s, _ := f.releases.Get("r")
+				over := s.Head.Phase.Over()
+				f.mu.Unlock()
+				if over {
+					stop()
+				}
+			}
+		}
+		stop()
+	}
+	s, _ = f.releases.Get("r")
+	return s
+}
+
+func (f *fleet) check(t *testing.T, version string) {
+	t.Helper()
+	for _, n := range names {
+		if f.versions[n] != version || f.platform.Alive(n) != 1 {
+			t.Errorf("%s runs %s in %d processes, want one of %s", n, f.versions[n], f.platform.Alive(n), version)
+		}
+	}
+	for what, n := range f.launches {
+		if n > 1 {
+			t.Errorf("%s was started %d times", what, n)
+		}
+	}
+	if len(f.stoppedIn) > 0 {
+		t.Errorf("%v were stopped while they were Ready in the list", f.stoppedIn)
+	}
+}
+
+func TestDriversFollowOneAnother(t *testing.T) {
+	for _, c := range []struct{ tenures, failEvery int }{{0, 0}, {40, 0}, {10, 7}} {
+		t.Run(fmt.Sprint(c), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet()
+				f.failEvery = c.failEvery
+				if s := f.play(t, c.tenures); s.Head.Phase != release.Done {
+					t.Fatalf("%s: %s, %+v", s.Head.Phase, s.Head.Why, s.Units)
+				}
+				f.check(t, "2")
+				if len(f.cohort) == 0 {
+					t.Error("no sidecar was told to count the new version apart")
+				}
+			})
+		})
+	}
+}
+
+func TestABrokenVersionGoesBackByItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		f.broken = true
+		if s := f.play(t, 0); s.Head.Phase != release.Backed {
+			t.Fatalf("%s: %s, %+v", s.Head.Phase, s.Head.Why, s.Units)
+		}
+		for _, n := range names {
+			if f.versions[n] != "1" || f.platform.Alive(n) != 1 {
+				t.Errorf("%s runs %s", n, f.versions[n])
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/release/drive/look.go
@@ -0,0 +1,101 @@
+package drive
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"milldeck/internal/disruption"
+	"milldeck/internal/placement"
+	"milldeck/internal/registry"
+	"milldeck/internal/release"
+	"milldeck/internal/supervisor"
+)
+
+// uid is a unit's name in the list and at the platform.
+func uid(id string) string {
+	_, name, _ := strings.Cut(id, "/")
+	return name
+}
+
+// look sees the fleet as it is. Without the ledger or the list nothing is decided; the platform may be silent.
+func (t *tenure) look(ctx context.Context) (*release.View, error) {
+	ctx, stop := limited(ctx)
+	defer stop()
+	ledger, err := t.Store.Ledger(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("release %s: the ledger: %w", t.Name, err)
+	}
+	list, err := t.Store.List(ctx, true)
+	if err != nil {
+		return nil, fmt.Errorf("release %s: the list: %w", t.Name, err)
+	}
+	platform, err := t.Platform.List(ctx)
+	if err != nil {
+		platform = nil
+	}
+	units := make(map[string]disruption.Unit, len(ledger.Units))
+	var living []string
+	for _, u := range ledger.Units {
+		units[u.ID] = u
+		if u.Kind == disruption.Sidecar && u.Condition != disruption.Lost {
+			living = append(living, uid(u.ID))
+		}
+	}
+	permits := make(map[string]disruption.Permit, len(ledger.Permits))
+	for _, p := range ledger.Permits {
+		permits[p.ID] = p
+	}
+	var terminating []string
+	for _, i := range list.Targets {
+		if i.State == registry.Terminating {
+			terminating = append(terminating, disruption.UnitID(disruption.Server, i.UID))
+		}
+	}
+	now := t.clock()
+	t.report(living, terminating, list.Rev, platform, now)
+	return &release.View{
+		NowMS: time.Now().UnixMilli(), Token: t.guard.Token, Platform: platform, Answers: t.answers, Denied: t.denied, Commands: t.told,
+		Verdict: t.watch.Verdict(t.state),
+		Permits: func(id string) (disruption.Permit, bool) { p, is := permits[id]; return p, is },
+		Unit:    func(id string) (disruption.Unit, bool) { u, is := units[id]; return u, is },
+		Made:    func(id string) bool { return t.Made == nil || t.made[id] },
+		Empty:   func(id string) bool { return t.empty.Empty(now, id) },
+		// What configuration a sidecar has read is not told by any sidecar yet: a release of a configuration alone halts at
+		// its first unit, as there is no evidence.
+		Running: func(string) (release.Image, bool) { return release.Image{}, false },
+		Refused: func(string, string) string { return "" },
+	}, nil
+}
+
+// clock is monotonic, in ms, above 0.
+func (t *tenure) clock() int64 { return time.Since(t.began).Milliseconds() + 1 }
+
+// report takes sidecars' reports in: what lists they have, and once a second what the judge compares.
+func (t *tenure) report(living, terminating []string, rev uint64, platform *supervisor.List, now int64) {
+	seen, _ := t.Reports.Snapshot()
+	has := make(map[string]uint64, len(seen))
+	for i := range seen {
+		has[seen[i].Name] = seen[i].List
+	}
+	t.empty.Look(now, terminating, rev, living, has)
+	if time.Since(t.judged) < judgeEvery {
+		return
+	}
+	t.judged = time.Now()
+	var news []placement.Report
+	for i := range seen {
+		if at, known := t.seen[seen[i].Name]; !known || at != seen[i].At {
+			news = append(news, seen[i].Report)
+		}
+	}
+	clear(t.seen)
+	for i := range seen {
+		t.seen[seen[i].Name] = seen[i].At
+	}
+	t.watch.Add(t.state, t.state.Interval(news, len(living), t.before, platform))
+	if platform != nil {
+		t.before = platform
+	}
+}
