--- a/cmd/milldeck/release.go
+++ b/cmd/milldeck/release.go
@@ -13,6 +13,7 @@
 	"github.com/spf13/cobra"
 
 	"milldeck/internal/disruption"
+	"milldeck/internal/release"
 	"milldeck/internal/release/plan"
 )
 
@@ -24,7 +25,11 @@
 		Args:  exactly(0),
 		RunE:  func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
-	c.AddCommand(newReleaseCheck())
+	c.AddCommand(newReleaseCheck(), newReleaseStatus(),
+		newReleaseTell(release.CmdHalt, "Halts a release: nothing further goes out, what is out comes to rest"),
+		newReleaseTell(release.CmdResume, "Has a halted release go on"),
+		newReleaseTell(release.CmdBack, "Sends a release back to the version that its units had"),
+		newReleaseTell(release.CmdFinalize, "Makes a release that is over final: it goes back no more, and its units are free"))
 	return c
 }
 
