--- a/internal/disruption/grant.go
+++ b/internal/disruption/grant.go
@@ -183,6 +183,7 @@
 		return never, a.unknown + " is not known"
 	}
 	room := ""
+	var wide []Kind // of zones more than half of which it takes
 	for k := range a.takes {
 		take := &a.takes[k]
 		if take.serving == 0 {
@@ -192,19 +193,20 @@
 		if v == never {
 			return never, why
 		}
-		if g := take.g; g.kind != "" && 2*(g.out+take.newly) > g.all {
-			zones := t.groups[zonesKey(g.kind)]
-			if slices.Contains(a.zoned, zones) {
+		if g := take.g; g.kind != "" && 2*take.serving > g.all {
+			if slices.Contains(wide, g.kind) {
 				return never, "two zones would be out by more than half"
 			}
-			a.zoned = append(a.zoned, zones)
-			others := zones.out
-			if g.mostly() {
-				others--
-			}
-			if others > 0 {
+			wide = append(wide, g.kind)
+		}
+		if g := take.g; g.kind != "" && 2*(g.out+take.newly) > g.all {
+			zones := t.groups[zonesKey(g.kind)]
+			if slices.Contains(a.zoned, zones) || zones.out > 1 || zones.out == 1 && !g.mostly() {
 				v, why = later, fmt.Sprintf("%s would be out by more than half, as another zone is", g.key)
 			}
+			if !slices.Contains(a.zoned, zones) {
+				a.zoned = append(a.zoned, zones)
+			}
 		}
 		if v == later && room == "" {
 			room = why
--- a/internal/disruption/model_test.go
+++ b/internal/disruption/model_test.go
@@ -135,7 +135,6 @@
 			ever, fit = ever && cold-now <= limit, fit && cold <= limit
 		}
 	}
-	mostly := map[string]bool{}
 	for _, u := range mine {
 		if !m.serving(u) {
 			continue
@@ -160,22 +159,21 @@
 			}
 		}
 		if 2*then.outOf(zone) > len(zone) {
-			mostly[key] = true
 			needs["zones "+string(u.Kind)] = true
 			for _, v := range m.units {
-				if v.Kind == u.Kind && v.Zone != u.Zone && 2*m.outOf(m.zone(&v)) > len(m.zone(&v)) {
+				if v.Kind == u.Kind && v.Zone != u.Zone && 2*then.outOf(m.zone(&v)) > len(m.zone(&v)) {
 					fit = false
 				}
 			}
 		}
 	}
-	kinds := map[byte]int{}
-	for key := range mostly {
-		kinds[key[2]]++ // "server" or "sidecar"
-	}
-	for _, n := range kinds {
-		ever = ever && n < 2
+	kinds := map[Kind]map[string]bool{Server: {}, Sidecar: {}}
+	for _, u := range mine {
+		if n := serving(func(v *Unit) bool { return v.Kind == u.Kind && v.Zone == u.Zone }); 2*n > len(m.zone(&u)) {
+			kinds[u.Kind][u.Zone] = true
+		}
 	}
+	ever = ever && len(kinds[Server]) < 2 && len(kinds[Sidecar]) < 2
 	stands := true
 	for _, other := range p.Instead {
 		s, is := m.units[other]
--- a/internal/disruption/table_test.go
+++ b/internal/disruption/table_test.go
@@ -331,7 +331,7 @@
 	apply(ask("first", RankPressed, "sidecar/8")) // a better rank need not wait
 	stage := func(id string) Stage { p, _ := l.Permit(id); return p.Stage }
 	if stage("first") != Granted || stage("s4") != Asked || stage("large") != Asked {
-		t.Fatalf("first %s, s4 %s, large %s", stage("first"), stage("s4"), stage("large"))
+		t.Fatalf("first %s, s4 %s, large %s: %+v", stage("first"), stage("s4"), stage("large"), l.Permits())
 	}
 	for _, id := range []string{"s0", "first"} {
 		apply(Op{Kind: OpCancel, Owner: "operator/o", Permit: &Permit{ID: id}})
