--- a/internal/disruption/evidence.go
+++ b/internal/disruption/evidence.go
@@ -257,3 +257,10 @@
 	}
 	return successor, ""
 }
+
+// Doubt halts the fleet until an operator has looked: what is out may not be what the ledger says.
+func (t *Table) Doubt(rev uint64, why string) {
+	t.rev = rev
+	t.addHalt(Halt{Scope: "", By: doubter, Why: why, Rev: rev})
+	t.run()
+}
--- a/internal/registry/lease.go
+++ b/internal/registry/lease.go
@@ -39,10 +39,16 @@
 	suspect bool
 }
 
+// leased is who has leases: instances of the list, or sidecars shown as such.
+type leased interface {
+	Get(uid string) (Instance, bool)
+	All(do func(*Instance))
+}
+
 func newLeases(rules Expiry) *leases { return &leases{rules: rules, of: map[string]*lease{}} }
 
 // reset gives every instance its full time again, as a new leader does.
-func (l *leases) reset(now time.Time, s *State) {
+func (l *leases) reset(now time.Time, s leased) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.of, l.ended = map[string]*lease{}, nil
@@ -58,7 +64,7 @@
 }
 
 // follow takes over what a write has done to instances.
-func (l *leases) follow(now time.Time, s *State, uids []string) {
+func (l *leases) follow(now time.Time, s leased, uids []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, uid := range uids {
@@ -77,7 +83,7 @@
 
 // renew extends leases. It returns those that are not known, which have to register again, and those that were
 // held back and have now proved alive.
-func (l *leases) renew(now time.Time, s *State, uids []string) (unknown, alive []string) {
+func (l *leases) renew(now time.Time, s leased, uids []string) (unknown, alive []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, uid := range uids {
--- a/internal/registry/record.go
+++ b/internal/registry/record.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"milldeck/internal/disruption"
 	"milldeck/internal/duty/table"
 )
 
@@ -47,8 +48,9 @@
 // Instance is a target as it is registered.
 type Instance struct {
 	Target
-	TTLMS   int64  `json:"ttl_ms"` // lease; 0: it never ends by itself
-	Rev     uint64 `json:"rev"`    // of its last change
+	Version string `json:"version,omitempty"` // of its program; sidecars are not told
+	TTLMS   int64  `json:"ttl_ms"`            // lease; 0: it never ends by itself
+	Rev     uint64 `json:"rev"`               // of its last change
 	Suspect bool   `json:"suspect,omitempty"`
 }
 
@@ -88,6 +90,8 @@
 		return bad("az", "over %d characters", maxName)
 	case len(i.Model) > maxName:
 		return bad("model", "over %d characters", maxName)
+	case len(i.Version) > maxName:
+		return bad("version", "over %d characters", maxName)
 	}
 	addr, err := netip.ParseAddrPort(i.Endpoint)
 	if err != nil || addr.Port() == 0 || addr.Addr().IsUnspecified() || addr.Addr().IsMulticast() {
@@ -108,6 +112,8 @@
 	OpSuspect    Op = "suspect"    // Refs, On: held back from expiry, or no longer
 	OpEpoch      Op = "epoch"      // Epoch: this list does not continue the one before
 	OpDuty       Op = "duty"       // Duty
+	OpLedger     Op = "ledger"     // Ledger, under its owner's Guard
+	OpSidecars   Op = "sidecars"   // Sidecars are registered; Refs: what State says became of others
 	OpFollow     Op = "follow"     // Instances and Refs: set and removed unchecked, by an agent that follows a registry
 )
 
@@ -129,6 +135,9 @@
 	Epoch     uint64     `json:"epoch,omitempty"`
 	Duty      *table.Op  `json:"duty,omitempty"`
 	Guard     *Guard     `json:"guard,omitempty"` // the write counts only under this duty's token
+
+	Ledger   *disruption.Op `json:"ledger,omitempty"`
+	Sidecars []Sidecar      `json:"sidecars,omitempty"`
 }
 
 // recordVersion is the first byte of a record; a newer one is refused, an older one read.
--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -92,6 +92,8 @@
 	ctx      context.Context
 	stop     context.CancelFunc
 	around   sync.WaitGroup
+
+	sidecars *sidecarLeases
 }
 
 // Open starts a replica from its folder, or anew.
@@ -114,6 +116,7 @@
 		opts.Expiry.Within = defaultWithin
 	}
 	r := &Replica{opts: opts, hub: NewHub(), leases: newLeases(opts.Expiry), duties: newDutyLeases(), began: time.Now(), fatal: make(chan error, 1)}
+	r.sidecars = newSidecarLeases(opts.Expiry)
 	r.metrics = newMetrics(r)
 	r.ctx, r.stop = context.WithCancel(context.Background())
 	// The clients' address is bound first: a replica that nobody can ask must not vote.
@@ -419,6 +422,7 @@
 	r.hub.Read(func(s *State) {
 		r.leases.reset(time.Now(), s)
 		r.duties.reset(time.Now(), s)
+		r.sidecars.reset(time.Now(), s)
 	})
 	r.leading.Store(true)
 	r.metrics.changes.Inc()
@@ -461,6 +465,7 @@
 		case <-sweep.C:
 			r.expire()
 			r.lapse()
+			r.expireSidecars()
 		}
 	}
 }
@@ -590,6 +595,7 @@
 	r.hub.Read(func(s *State) {
 		r.leases.reset(time.Now(), s)
 		r.duties.reset(time.Now(), s)
+		r.sidecars.reset(time.Now(), s)
 	})
 	return res, err
 }
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -58,6 +58,7 @@
 	writes    map[string]Result
 	order     []string // of writes, oldest first
 	duties    *table.Table
+	ledger    *ledger // nil until the first record about it
 }
 
 // NewState is the empty state.
@@ -99,6 +100,7 @@
 		}
 	}
 	res := s.do(index, r)
+	s.feed(index, r, res)
 	if r.ID != "" && res.Outcome == Done {
 		s.writes[r.ID] = res
 		s.order = append(s.order, r.ID)
@@ -117,6 +119,10 @@
 	switch r.Op {
 	case OpDuty:
 		return s.doDuty(index, r.Duty)
+	case OpLedger:
+		return s.doLedger(index, r)
+	case OpSidecars:
+		return s.doSidecars(index, r)
 	case OpRegister:
 		return s.register(index, r)
 	case OpState, OpDeregister:
@@ -204,7 +210,7 @@
 		n.Suspect = false
 		old := s.instances[n.UID]
 		if old != nil && old.Target == n.Target {
-			old.TTLMS, old.Suspect = n.TTLMS, false
+			old.Version, old.TTLMS, old.Suspect = n.Version, n.TTLMS, false
 			continue // nothing that anybody would be told
 		}
 		n.Rev = index
@@ -322,12 +328,14 @@
 	Writes    map[string]Result `json:"writes"`
 	Order     []string          `json:"order"`
 	Duties    []*table.Duty     `json:"duties,omitempty"`
+	Ledger    *savedLedger      `json:"ledger,omitempty"`
 }
 
 // Snapshot writes the state. History is left out: watches that come back after a restore get the whole list.
 func (s *State) Snapshot(w io.Writer) error {
 	snap := snapshot{Rev: s.rev, Applied: s.applied, Epoch: s.epoch, Instances: []*Instance{}, Writes: s.writes, Order: s.order,
 		Duties: s.duties.Save()}
+	snap.Ledger = s.ledger.save()
 	for _, uid := range slices.Sorted(maps.Keys(s.instances)) {
 		snap.Instances = append(snap.Instances, s.instances[uid])
 	}
@@ -381,6 +389,9 @@
 		return nil, fmt.Errorf("snapshot: an empty duty")
 	}
 	s.duties = table.Load(snap.Duties)
+	if s.ledger, err = loadLedger(snap.Ledger); err != nil {
+		return nil, err
+	}
 	if snap.Writes != nil {
 		s.writes, s.order = snap.Writes, snap.Order
 	}
