--- a/internal/disruption/model_test.go
+++ b/internal/disruption/model_test.go
@@ -17,6 +17,7 @@
 	budgets map[string]Budget
 	halts   []Halt
 	frozen  bool
+	asking  *Permit // that is tried: its units count as under it
 }
 
 func newModel() *model {
@@ -32,6 +33,9 @@
 func (p *Permit) active() bool { return p.Stage == Granted || p.Stage == Out || p.Stage == Returning }
 
 func (m *model) holder(id string) *Permit {
+	if p := m.asking; p != nil && slices.Contains(p.Units, id) {
+		return p
+	}
 	for _, p := range m.permits {
 		if p.active() && slices.Contains(p.Units, id) && !slices.Contains(p.Settled, id) {
 			return &p
@@ -79,8 +83,7 @@
 // after gives how it would be with the permit granted.
 func (m *model) after(p Permit) *model {
 	c := m.clone()
-	p.Stage = Granted
-	c.permits[p.ID] = p
+	c.asking = &p
 	return c
 }
 
@@ -132,7 +135,6 @@
 			ever, fit = ever && cold-now <= limit, fit && cold <= limit
 		}
 	}
-	mostly := map[string]bool{}
 	for _, u := range mine {
 		if !m.serving(u) {
 			continue
@@ -157,22 +159,21 @@
 			}
 		}
 		if 2*then.outOf(zone) > len(zone) {
-			mostly[key] = true
 			needs["zones "+string(u.Kind)] = true
 			for _, v := range m.units {
-				if v.Kind == u.Kind && v.Zone != u.Zone && 2*m.outOf(m.zone(&v)) > len(m.zone(&v)) {
+				if v.Kind == u.Kind && v.Zone != u.Zone && 2*then.outOf(m.zone(&v)) > len(m.zone(&v)) {
 					fit = false
 				}
 			}
 		}
 	}
-	kinds := map[byte]int{}
-	for key := range mostly {
-		kinds[key[2]]++ // "server" or "sidecar"
-	}
-	for _, n := range kinds {
-		ever = ever && n < 2
+	kinds := map[Kind]map[string]bool{Server: {}, Sidecar: {}}
+	for _, u := range mine {
+		if n := serving(func(v *Unit) bool { return v.Kind == u.Kind && v.Zone == u.Zone }); 2*n > len(m.zone(&u)) {
+			kinds[u.Kind][u.Zone] = true
+		}
 	}
+	ever = ever && len(kinds[Server]) < 2 && len(kinds[Sidecar]) < 2
 	stands := true
 	for _, other := range p.Instead {
 		s, is := m.units[other]
--- a/internal/registry/record.go
+++ b/internal/registry/record.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"milldeck/internal/disruption"
 	"milldeck/internal/duty/table"
 	"milldeck/internal/placement"
 	"milldeck/internal/release"
@@ -49,8 +50,9 @@
 // Instance is a target as it is registered.
 type Instance struct {
 	Target
-	TTLMS   int64  `json:"ttl_ms"` // lease; 0: it never ends by itself
-	Rev     uint64 `json:"rev"`    // of its last change
+	Version string `json:"version,omitempty"` // of its program; sidecars are not told
+	TTLMS   int64  `json:"ttl_ms"`            // lease; 0: it never ends by itself
+	Rev     uint64 `json:"rev"`               // of its last change
 	Suspect bool   `json:"suspect,omitempty"`
 }
 
@@ -90,6 +92,8 @@
 		return bad("az", "over %d characters", maxName)
 	case len(i.Model) > maxName:
 		return bad("model", "over %d characters", maxName)
+	case len(i.Version) > maxName:
+		return bad("version", "over %d characters", maxName)
 	}
 	addr, err := netip.ParseAddrPort(i.Endpoint)
 	if err != nil || addr.Port() == 0 || addr.Addr().IsUnspecified() || addr.Addr().IsMulticast() {
@@ -112,6 +116,8 @@
 	OpDuty       Op = "duty"       // Duty
 	OpPlacement  Op = "placement"  // Placement, under its owner's Guard or the leader's own
 	OpRelease    Op = "release"    // Release; a step of it under its owner's Guard
+	OpLedger     Op = "ledger"     // Ledger, under its owner's Guard
+	OpSidecars   Op = "sidecars"   // Sidecars are registered; Refs: what State says became of others
 	OpFollow     Op = "follow"     // Instances and Refs: set and removed unchecked, by an agent that follows a registry
 )
 
@@ -134,8 +140,10 @@
 	Duty      *table.Op  `json:"duty,omitempty"`
 	Guard     *Guard     `json:"guard,omitempty"` // the write counts only under this duty's token
 
-	Placement *placement.Op `json:"placement,omitempty"`
-	Release   *release.Op   `json:"release,omitempty"`
+	Placement *placement.Op  `json:"placement,omitempty"`
+	Release   *release.Op    `json:"release,omitempty"`
+	Ledger    *disruption.Op `json:"ledger,omitempty"`
+	Sidecars  []Sidecar      `json:"sidecars,omitempty"`
 }
 
 // recordVersion is the first byte of a record; a newer one is refused, an older one read.
--- a/internal/release/drive/drive.go
+++ b/internal/release/drive/drive.go
@@ -30,17 +30,15 @@
 	placeEvery = 20 * time.Second // two placings of it may fail
 )
 
-// Store is the list service; registry.Client is most of one.
+// Store is the list service; registry.Client is one.
 type Store interface {
 	Release(ctx context.Context, name string, brief, fresh bool) (registry.ReleaseView, error)
 	WriteRelease(ctx context.Context, w registry.Write, name string, op release.Op) (registry.Result, error)
 	List(ctx context.Context, fresh bool) (registry.List, error)
 	SetState(ctx context.Context, w registry.Write, uid, state string) (registry.Result, error)
 	SetPlacement(ctx context.Context, w registry.Write, atMS int64, set []placement.Entry, drop ...string) (registry.Result, error)
-	// Ledger reads the ledger with all its units, as no later write has changed it.
-	Ledger(ctx context.Context) (disruption.View, error)
-	// WriteLedger writes an operation; a refusal is a registry.StatusError.
-	WriteLedger(ctx context.Context, w registry.Write, op disruption.Op) (registry.Result, error)
+	LedgerView(ctx context.Context, fresh, units bool) (disruption.View, error)
+	Ledger(ctx context.Context, w registry.Write, op disruption.Op) (registry.LedgerResult, error)
 }
 
 // Reports is where sidecars' reports come from; collect.Collector is one.
@@ -234,7 +232,7 @@
 func (t *tenure) ledger(ctx context.Context, op disruption.Op) {
 	ctx, stop := limited(ctx)
 	defer stop()
-	_, err := t.Store.WriteLedger(ctx, registry.Write{Guard: t.guard}, op)
+	_, err := t.Store.Ledger(ctx, registry.Write{Guard: t.guard}, op)
 	var status *registry.StatusError
 	switch {
 	case err == nil:
--- a/internal/release/drive/drive_test.go
+++ b/internal/release/drive/drive_test.go
@@ -196,22 +196,22 @@
 	return registry.Result{}, set[0].Check()
 }
 
-func (f *fleet) Ledger(context.Context) (disruption.View, error) {
+func (f *fleet) LedgerView(context.Context, bool, bool) (disruption.View, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.ledger.View(true), nil
 }
 
-func (f *fleet) WriteLedger(_ context.Context, w registry.Write, op disruption.Op) (registry.Result, error) {
+func (f *fleet) Ledger(_ context.Context, w registry.Write, op disruption.Op) (registry.LedgerResult, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err := f.guarded(w); err != nil {
-		return registry.Result{}, err
+		return registry.LedgerResult{}, err
 	}
 	if out, why := f.ledger.Apply(f.rev, &op); out != disruption.Done {
-		return registry.Result{}, &registry.StatusError{Status: http.StatusConflict, Text: why}
+		return registry.LedgerResult{}, &registry.StatusError{Status: http.StatusConflict, Text: why}
 	}
-	return registry.Result{}, f.fails()
+	return registry.LedgerResult{}, f.fails()
 }
 
 // Do and List of the platform are met under the fleet's lock, as its launches are noted there.
--- a/internal/release/drive/look.go
+++ b/internal/release/drive/look.go
@@ -23,7 +23,7 @@
 func (t *tenure) look(ctx context.Context) (*release.View, error) {
 	ctx, stop := limited(ctx)
 	defer stop()
-	ledger, err := t.Store.Ledger(ctx)
+	ledger, err := t.Store.LedgerView(ctx, true, true)
 	if err != nil {
 		return nil, fmt.Errorf("release %s: the ledger: %w", t.Name, err)
 	}
