release start, fleet status, halt, resume and drain

The driver takes the lists that sidecars have from their registrations too, and tells the ledger of servers that are warm. What is final is so at once, as nobody works on it any more.

--- a/cmd/milldeck/main.go
+++ b/cmd/milldeck/main.go
@@ -79,7 +79,7 @@
 	flags := root.PersistentFlags()
 	flags.StringVar(&level, "log-level", "info", "least level that is logged: debug, info, warn or error")
 	flags.StringVar(&format, "log-format", "text", "form of the log: text or json")
-	root.AddCommand(newVersion(), newLab(), newRegistry(), newDuty(), newAgent(), newSupervisor(), newRelease())
+	root.AddCommand(newVersion(), newLab(), newRegistry(), newDuty(), newAgent(), newSupervisor(), newRelease(), newFleet())
 	return root
 }
 
--- a/cmd/milldeck/release.go
+++ b/cmd/milldeck/release.go
@@ -25,7 +25,7 @@
 		Args:  exactly(0),
 		RunE:  func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
-	c.AddCommand(newReleaseCheck(), newReleaseStatus(),
+	c.AddCommand(newReleaseCheck(), newReleaseStart(), newReleaseStatus(),
 		newReleaseTell(release.CmdHalt, "Halts a release: nothing further goes out, what is out comes to rest"),
 		newReleaseTell(release.CmdResume, "Has a halted release go on"),
 		newReleaseTell(release.CmdBack, "Sends a release back to the version that its units had"),
--- a/internal/release/begin.go
+++ b/internal/release/begin.go
@@ -44,17 +44,21 @@
 	return s, nil
 }
 
-// NewDrain draws a plain drain: the units that a selector names are emptied and stopped, one after the other within the
-// budgets, and stay out for good.
-func NewDrain(name string, sel disruption.Selector, deadlineS float64, nowMS int64, units []disruption.Unit, l *supervisor.List) (*State, error) {
+// DrainPlan is the plan of a plain drain: the units that a selector names, bounded by the budgets alone.
+func DrainPlan(name string, sel disruption.Selector, deadlineS float64) *plan.Plan {
 	if sel.Kind == "" {
 		sel.Kind = disruption.Server
 	}
-	n := len(units)
-	p := &plan.Plan{
+	n := maxUnits
+	return &plan.Plan{
 		Name: name, Select: sel, OnHalt: plan.Hold, Deadline: deadlineS, Waves: []plan.Wave{{}},
-		Limits: plan.Limits{MaxOut: disruption.Limit{Count: &n}}, // the budgets alone bound a drain
+		Limits: plan.Limits{MaxOut: disruption.Limit{Count: &n}},
 	}
+}
+
+// NewDrain draws a plain drain: its units are emptied and stopped within the budgets, and stay out for good.
+func NewDrain(p *plan.Plan, nowMS int64, units []disruption.Unit, l *supervisor.List) (*State, error) {
+	name, sel := p.Name, p.Select
 	s := &State{Name: name, Plan: p, Hash: p.Hash(), Drain: true, StartMS: nowMS, Head: Head{Phase: Forward}}
 	for _, d := range units {
 		if !sel.Selects(&d) {
--- a/internal/release/cases_test.go
+++ b/internal/release/cases_test.go
@@ -211,6 +211,26 @@
 	}
 }
 
+func TestWhatIsFinalGoesBackNoMore(t *testing.T) {
+	w := newWorld(t, disruption.Server, 2, 3, 2)
+	first := w.start(serverPlan)
+	if err := w.apply(&Op{Name: "r", Tell: &Command{What: CmdFinalize, By: "operator/eva"}}); err == nil {
+		t.Error("a release under way is made final")
+	}
+	if s, err := w.finish(&kill{at: -1}, 1000, nil); err != nil || s.Head.Phase != Done {
+		t.Fatal(s.Head.Phase, err)
+	}
+	tell(t, w, CmdFinalize)
+	if err := w.apply(&Op{Name: "r", Tell: &Command{What: CmdBack, By: "operator/eva"}}); err == nil {
+		t.Error("what is final is sent back")
+	}
+	other := *first
+	other.Name = "other"
+	if err := w.apply(&Op{Start: &other}); err != nil {
+		t.Errorf("another cannot have units of what is final: %v", err)
+	}
+}
+
 func TestAnEditedPlanUnderWayIsRefused(t *testing.T) {
 	w := newWorld(t, disruption.Server, 2, 3, 2)
 	s := w.start(serverPlan)
@@ -272,7 +292,7 @@
 	}
 	w.start(half("r1", `"server/a0","server/a1","server/b0","server/b1"`))
 	w.start(half("r2", `"server/a2","server/b2","server/b3"`))
-	d, err := NewDrain("d", disruption.Selector{IDs: []string{"server/a3"}}, 3600, w.now, w.ledger.Units(), w.list())
+	d, err := NewDrain(DrainPlan("d", disruption.Selector{IDs: []string{"server/a3"}}, 3600), w.now, w.ledger.Units(), w.list())
 	if err == nil {
 		err = w.apply(&Op{Start: d})
 	}
--- a/internal/release/drive/drive.go
+++ b/internal/release/drive/drive.go
@@ -38,6 +38,7 @@
 	SetState(ctx context.Context, w registry.Write, uid, state string) (registry.Result, error)
 	SetPlacement(ctx context.Context, w registry.Write, atMS int64, set []placement.Entry, drop ...string) (registry.Result, error)
 	LedgerView(ctx context.Context, fresh, units bool) (disruption.View, error)
+	Sidecars(ctx context.Context) ([]registry.Sidecar, error)
 	Ledger(ctx context.Context, w registry.Write, op disruption.Op) (registry.LedgerResult, error)
 }
 
@@ -55,6 +56,8 @@
 	Reports  Reports
 	// Longest is the longest that a request may take at the servers: the largest hard limit of the settings.
 	Longest time.Duration
+	// Warm is how long after it is ready a server that comes back counts as warm; 0: somebody else finds that.
+	Warm time.Duration
 	// Strata is how many classes × zones there are, among which the judge's false alarms are shared.
 	Strata int
 	// File gives the text of a unit's configuration, which has to be the same each time.
@@ -82,7 +85,7 @@
 	seen    map[string]time.Duration
 }
 
-// Work carries the release out until it is back, or over and final, or ctx ends.
+// Work carries the release out until it is over and nothing was told it since, or ctx ends.
 func (d *Driver) Work(ctx context.Context, l *duty.Lease) error {
 	d.Reports.SetOpen(true)
 	defer d.Reports.SetOpen(false)
@@ -99,7 +102,7 @@
 		default:
 			pause = 0
 		}
-		if t.state != nil && (t.state.Head.Final || t.state.Head.Phase == release.Backed) {
+		if t.state != nil && t.state.Head.Phase.Over() && t.state.Head.Commands == len(t.told) {
 			return nil
 		}
 		wait := stepEvery
--- a/internal/release/drive/drive_test.go
+++ b/internal/release/drive/drive_test.go
@@ -196,6 +196,12 @@
 	return registry.Result{}, set[0].Check()
 }
 
+func (f *fleet) Sidecars(context.Context) ([]registry.Sidecar, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return []registry.Sidecar{{Name: "s1", ListRev: f.rev}, {Name: "s2"}}, nil
+}
+
 func (f *fleet) LedgerView(context.Context, bool, bool) (disruption.View, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/release/drive/look.go
+++ b/internal/release/drive/look.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -31,17 +34,21 @@
 	if err != nil {
 		return nil, fmt.Errorf("release %s: the list: %w", t.Name, err)
 	}
+	sidecars, err := t.Store.Sidecars(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("release %s: the sidecars: %w", t.Name, err)
+	}
 	platform, err := t.Platform.List(ctx)
 	if err != nil {
 		platform = nil
 	}
 	units := make(map[string]disruption.Unit, len(ledger.Units))
-	var living []string
 	for _, u := range ledger.Units {
 		units[u.ID] = u
-		if u.Kind == disruption.Sidecar && u.Condition != disruption.Lost {
-			living = append(living, uid(u.ID))
-		}
+	}
+	has := make(map[string]uint64, len(sidecars)) // the list of each sidecar that lives
+	for i := range sidecars {
+		has[sidecars[i].Name] = sidecars[i].ListRev
 	}
 	permits := make(map[string]disruption.Permit, len(ledger.Permits))
 	for _, p := range ledger.Permits {
@@ -54,7 +61,8 @@
 		}
 	}
 	now := t.clock()
-	t.report(living, terminating, list.Rev, platform, now)
+	t.report(has, terminating, list.Rev, platform, now)
+	t.see(ctx, units, platform)
 	return &release.View{
 		NowMS: time.Now().UnixMilli(), Token: t.guard.Token, Platform: platform, Answers: t.answers, Denied: t.denied, Commands: t.told,
 		Verdict: t.watch.Verdict(t.state),
@@ -73,11 +81,13 @@
 func (t *tenure) clock() int64 { return time.Since(t.began).Milliseconds() + 1 }
 
 // report takes sidecars' reports in: what lists they have, and once a second what the judge compares.
-func (t *tenure) report(living, terminating []string, rev uint64, platform *supervisor.List, now int64) {
+func (t *tenure) report(has map[string]uint64, terminating []string, rev uint64, platform *supervisor.List, now int64) {
 	seen, _ := t.Reports.Snapshot()
-	has := make(map[string]uint64, len(seen))
+	living := slices.Sorted(maps.Keys(has))
 	for i := range seen {
-		has[seen[i].Name] = seen[i].List
+		if r, lives := has[seen[i].Name]; lives {
+			has[seen[i].Name] = max(r, seen[i].List)
+		}
 	}
 	t.empty.Look(now, terminating, rev, living, has)
 	if time.Since(t.judged) < judgeEvery {
@@ -99,3 +109,27 @@
 		t.before = platform
 	}
 }
+
+// see tells the ledger of servers that come back and have been ready for long enough to be warm. A unit that has changed
+// since it was looked at is left alone.
+func (t *tenure) see(ctx context.Context, units map[string]disruption.Unit, platform *supervisor.List) {
+	if t.Warm == 0 || platform == nil {
+		return
+	}
+	var warm []disruption.Unit
+	for i := range t.state.Units {
+		u := &t.state.Units[i]
+		d, at := units[u.ID], platform.Find(u.Name)
+		if u.Stage == release.Rise && d.Kind == disruption.Server && (d.Condition == disruption.Cold || d.Condition == disruption.Unready) &&
+			at != nil && at.State == supervisor.Running && platform.AtMS-at.SinceMS >= t.Warm.Milliseconds() {
+			warm = append(warm, disruption.Unit{ID: u.ID, Condition: disruption.Up, Rev: d.Rev})
+		}
+	}
+	if len(warm) == 0 {
+		return
+	}
+	op := disruption.Op{Kind: disruption.OpSee, Owner: release.Owner(t.Name), Seen: warm}
+	if _, err := t.Store.Ledger(ctx, registry.Write{Guard: t.guard}, op); err != nil {
+		slog.Debug("not seen as warm", "release", t.Name, "units", len(warm), "error", err)
+	}
+}
--- a/internal/release/halt.go
+++ b/internal/release/halt.go
@@ -19,8 +19,6 @@
 			c.head.Phase, c.head.By, c.head.Why, c.head.BakeMS = Forward, "", "", 0
 		case cmd.What == CmdBack && (p == Forward || p == Held || p == Done) && !c.head.Final:
 			c.halt(cmd.By, cmp.Or(cmd.Why, "by hand"), plan.Back)
-		case cmd.What == CmdFinalize && p.Over():
-			c.head.Final = true
 		}
 	}
 }
--- a/internal/release/kill_test.go
+++ b/internal/release/kill_test.go
@@ -71,7 +71,7 @@
 	if sc.drain {
 		sel := disruption.Selector{IDs: []string{"server/a0", "server/b1"}}
 		l := w.list()
-		s, e := NewDrain("r", sel, 3600, w.now, w.ledger.Units(), l)
+		s, e := NewDrain(DrainPlan("r", sel, 3600), w.now, w.ledger.Units(), l)
 		if e == nil {
 			e = w.apply(&Op{Start: s})
 		}
--- a/internal/release/table.go
+++ b/internal/release/table.go
@@ -118,13 +118,12 @@
 	if err := s.Apply(d); err != nil {
 		return err
 	}
-	if s.free() {
-		maps.DeleteFunc(t.claims, func(_, by string) bool { return by == name })
-	}
+	t.unclaim(s)
 	return nil
 }
 
-// tell takes an operator's command in. It counts once the release's controller has taken it up.
+// tell takes an operator's command in. It counts once the release's controller has taken it up; what is made final is so
+// at once, as nobody works on it any more.
 func (t *Table) tell(name string, c Command) error {
 	s := t.releases[name]
 	switch {
@@ -141,10 +140,23 @@
 	case c.What == CmdBack && s.Head.Final:
 		return fmt.Errorf("release %s is final", name)
 	}
+	if c.What == CmdFinalize {
+		s.Head.Final = true
+		s.Seq++ // a step that was decided before counts no more
+		t.unclaim(s)
+		return nil
+	}
 	t.commands[name] = append(t.commands[name], c)
 	return nil
 }
 
+// unclaim gives the units of a release that needs them no more to others.
+func (t *Table) unclaim(s *State) {
+	if s.free() {
+		maps.DeleteFunc(t.claims, func(_, by string) bool { return by == s.Name })
+	}
+}
+
 // Get is a release as it stands, which the caller does not change, and what it was told.
 func (t *Table) Get(name string) (*State, []Command) { return t.releases[name], t.commands[name] }
 
