--- a/internal/registry/ledger.go
+++ b/internal/registry/ledger.go
@@ -59,7 +59,10 @@
 		ID: disruption.UnitID(disruption.Server, i.UID), Kind: disruption.Server, Zone: i.Zone, Model: i.Model, Pod: i.Pod,
 		Version: i.Version, Capacity: i.Capacity, Endpoint: i.Endpoint, BootMS: i.BootMS, Condition: disruption.Up,
 	}
-	if i.State == Terminating {
+	switch {
+	case i.Suspect:
+		u.Condition = disruption.Unseen
+	case i.State == Terminating:
 		u.Condition = disruption.Draining
 	}
 	return u
@@ -69,11 +72,7 @@
 func (s *State) units(index uint64) *ledger {
 	l := &ledger{table: disruption.New(), sidecars: map[string]*Sidecar{}}
 	for _, uid := range slices.Sorted(maps.Keys(s.instances)) {
-		i := s.instances[uid]
-		l.table.Register(index, i.unit())
-		if i.Suspect {
-			l.table.Unsee(index, disruption.UnitID(disruption.Server, uid))
-		}
+		l.table.Register(index, s.instances[uid].unit())
 	}
 	return l
 }
