--- a/internal/registry/ledger.go
+++ b/internal/registry/ledger.go
@@ -10,12 +10,6 @@
 	"milldeck/internal/disruption"
 )
 
-// The operations of the log about the ledger.
-const (
-	OpLedger   Op = "ledger"   // Ledger, under its owner's Guard
-	OpSidecars Op = "sidecars" // Sidecars are registered; Refs: what State says became of others
-)
-
 // ledger is the part of the state that says what is out. It is begun by the first record about it, from the list as
 // it then is: until then replicas of an earlier version, which know no such records, can be among the others. From
 // then on all have to be of this one.
--- a/internal/registry/record.go
+++ b/internal/registry/record.go
@@ -112,6 +112,8 @@
 	OpSuspect    Op = "suspect"    // Refs, On: held back from expiry, or no longer
 	OpEpoch      Op = "epoch"      // Epoch: this list does not continue the one before
 	OpDuty       Op = "duty"       // Duty
+	OpLedger     Op = "ledger"     // Ledger, under its owner's Guard
+	OpSidecars   Op = "sidecars"   // Sidecars are registered; Refs: what State says became of others
 	OpFollow     Op = "follow"     // Instances and Refs: set and removed unchecked, by an agent that follows a registry
 )
 
@@ -123,9 +125,6 @@
 
 // Record is one entry of the log. Fields of a later version that are not known here are skipped.
 type Record struct {
-	Ledger   *disruption.Op `json:"ledger,omitempty"`
-	Sidecars []Sidecar      `json:"sidecars,omitempty"`
-
 	Op        Op         `json:"op"`
 	ID        string     `json:"id,omitempty"` // of the write: a repeat after a lost answer is not done twice
 	IfRev     *uint64    `json:"if_rev,omitempty"`
@@ -136,6 +135,9 @@
 	Epoch     uint64     `json:"epoch,omitempty"`
 	Duty      *table.Op  `json:"duty,omitempty"`
 	Guard     *Guard     `json:"guard,omitempty"` // the write counts only under this duty's token
+
+	Ledger   *disruption.Op `json:"ledger,omitempty"`
+	Sidecars []Sidecar      `json:"sidecars,omitempty"`
 }
 
 // recordVersion is the first byte of a record; a newer one is refused, an older one read.
--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -463,9 +463,9 @@
 			}
 			r.verified.Store(int64(asked))
 		case <-sweep.C:
-			r.expireSidecars()
 			r.expire()
 			r.lapse()
+			r.expireSidecars()
 		}
 	}
 }
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -57,8 +57,8 @@
 	forgotten uint64   // the revision of the newest change that history has lost
 	writes    map[string]Result
 	order     []string // of writes, oldest first
-	ledger    *ledger  // nil until the first record about it
 	duties    *table.Table
+	ledger    *ledger // nil until the first record about it
 }
 
 // NewState is the empty state.
@@ -117,12 +117,12 @@
 		return Result{Conflict, s.duties.Rev(), fmt.Sprintf("token %d of duty %s counts no more", g.Token, g.Duty)}
 	}
 	switch r.Op {
+	case OpDuty:
+		return s.doDuty(index, r.Duty)
 	case OpLedger:
 		return s.doLedger(index, r)
 	case OpSidecars:
 		return s.doSidecars(index, r)
-	case OpDuty:
-		return s.doDuty(index, r.Duty)
 	case OpRegister:
 		return s.register(index, r)
 	case OpState, OpDeregister:
@@ -327,18 +327,18 @@
 	Instances []*Instance       `json:"instances"`
 	Writes    map[string]Result `json:"writes"`
 	Order     []string          `json:"order"`
-	Ledger    *savedLedger      `json:"ledger,omitempty"`
 	Duties    []*table.Duty     `json:"duties,omitempty"`
+	Ledger    *savedLedger      `json:"ledger,omitempty"`
 }
 
 // Snapshot writes the state. History is left out: watches that come back after a restore get the whole list.
 func (s *State) Snapshot(w io.Writer) error {
 	snap := snapshot{Rev: s.rev, Applied: s.applied, Epoch: s.epoch, Instances: []*Instance{}, Writes: s.writes, Order: s.order,
 		Duties: s.duties.Save()}
+	snap.Ledger = s.ledger.save()
 	for _, uid := range slices.Sorted(maps.Keys(s.instances)) {
 		snap.Instances = append(snap.Instances, s.instances[uid])
 	}
-	snap.Ledger = s.ledger.save()
 	body, err := json.Marshal(snap)
 	if err != nil {
 		return fmt.Errorf("snapshot: %w", err)
@@ -389,12 +389,12 @@
 		return nil, fmt.Errorf("snapshot: an empty duty")
 	}
 	s.duties = table.Load(snap.Duties)
-	if snap.Writes != nil {
-		s.writes, s.order = snap.Writes, snap.Order
-	}
 	if s.ledger, err = loadLedger(snap.Ledger); err != nil {
 		return nil, err
 	}
+	if snap.Writes != nil {
+		s.writes, s.order = snap.Writes, snap.Order
+	}
 	return s, nil
 }
 
