--- a/internal/disruption/table_test.go
+++ b/internal/disruption/table_test.go
@@ -381,6 +381,36 @@
 	is(u.ID, "") // its place is taken
 }
 
+// Who registers at the endpoint of a unit that is lost under a permit ends it, once it is up; until then nothing does.
+func TestAnotherAtTheSameEndpoint(t *testing.T) {
+	l, op := New(), Op{Owner: "operator/o", Permit: &Permit{ID: "p", Owner: "operator/o", Units: []string{"server/a"}, End: ComesBack}}
+	apply := func(rev uint64, kind OpKind, want Outcome) {
+		t.Helper()
+		op.Kind = kind
+		if got, why := l.Apply(rev, &op); got != want {
+			t.Fatalf("%s: %s %s", kind, got, why)
+		}
+	}
+	for n, id := range []string{"server/a", "server/b"} {
+		l.Register(uint64(1+n), Unit{ID: id, Kind: Server, Endpoint: id, Condition: Up})
+	}
+	apply(3, OpAsk, Done)
+	apply(4, OpSettle, Refused) // it has not begun
+	apply(5, OpBegin, Done)
+	apply(6, OpSettle, Refused) // it never went out
+	l.Leave(7, "server/a")
+	apply(8, OpSettle, Refused)
+	next := Unit{ID: "server/a2", Kind: Server, Endpoint: "server/a", Condition: Draining}
+	l.Register(9, next)
+	apply(10, OpSettle, Refused)
+	next.Condition = Up
+	l.Register(11, next)
+	apply(12, OpSettle, Done)
+	if u, _ := l.Unit("server/a2"); u.For != "server/a" || len(l.Units()) != 2 {
+		t.Fatalf("units are %+v", l.Units())
+	}
+}
+
 // Apply costs no more with many units than with few: one permit from ask to settled, at 100 and 10,000 units.
 func BenchmarkApply(b *testing.B) {
 	for _, n := range []int{100, 10_000} {
