--- /dev/null
+++ b/internal/window/world_test.go
@@ -0,0 +1,534 @@
+package window
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"milldeck/internal/disruption"
+	"milldeck/internal/placement"
+	"milldeck/internal/window/contract"
+	"milldeck/internal/window/hours"
+)
+
+// world plays controllers, a leader, sidecars and workers on a virtual clock. Times are true Unix ms but where a clock
+// is named; clocks and delays are drawn from a seed.
+type world struct {
+	rng    *rand.Rand
+	now    int64
+	queue  queue
+	seq    int
+	table  *Table
+	rev    uint64
+	token  uint64 // that the duty has now
+	permit map[string]disruption.Stage
+	held   bool // the ledger grants nothing
+	down   bool // the registry answers nobody
+
+	leader   clock
+	ctl      *controller
+	sidecars []*sidecar
+	fleet    Fleet
+	up       map[string]bool
+	judge    *judge
+
+	slowReturn bool // servers come back far later than ever
+	plant      func(*world, *Op, *Stamp)
+	lie        int64           // ms by which sidecars are told too late an end
+	onWrite    func(e *Effect) // sees each write that reaches the log
+	writes     int
+	log        []string // applied steps and acts, but for prolongations
+}
+
+type clock struct{ off, unc int64 }
+
+type controller struct {
+	core   *Core
+	clock  clock
+	token  uint64
+	dead   bool
+	frozen int64 // until
+	armed  int64 // of the wake that counts
+}
+
+type sidecar struct {
+	name   string
+	clock  clock
+	cut    bool
+	rev    uint64
+	forced map[string]*forced // by entry's id
+}
+
+// forced is an entry that a sidecar follows.
+type forced struct {
+	e     placement.Entry
+	since int64
+	end   int64 // by itself
+	drain int64 // when its last request is answered
+}
+
+type event struct {
+	at  int64
+	seq int
+	do  func()
+}
+type queue []event
+
+func (q queue) Len() int           { return len(q) }
+func (q queue) Less(i, j int) bool { return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq }
+func (q queue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)        { *q = append(*q, x.(event)) }
+func (q *queue) Pop() any {
+	x := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return x
+}
+
+func newWorld(seed uint64, start time.Time, sidecars int, fleet Fleet) *world {
+	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), now: start.UnixMilli(), table: New(), permit: map[string]disruption.Stage{},
+		fleet: fleet, up: map[string]bool{}, judge: newJudge()}
+	w.table.Permit = func(id string) (disruption.Stage, bool) { s, is := w.permit[id]; return s, is }
+	for uid := range fleet {
+		w.up[uid] = true
+	}
+	for i := range sidecars {
+		w.sidecars = append(w.sidecars, &sidecar{name: fmt.Sprint("s", i), clock: w.goodClock(), forced: map[string]*forced{}})
+	}
+	w.leader = w.goodClock()
+	w.takeOver(w.goodClock())
+	return w
+}
+
+func (w *world) goodClock() clock { return clock{w.rng.Int64N(400) - 200, 250} }
+
+func (w *world) after(ms int64, do func()) {
+	w.seq++
+	heap.Push(&w.queue, event{w.now + ms, w.seq, do})
+}
+
+func (w *world) run(until int64) {
+	for len(w.queue) > 0 && w.queue[0].at < until {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.now = until
+}
+
+// takeOver gives the duty to a new controller.
+func (w *world) takeOver(c clock) {
+	w.rev++
+	w.token = w.rev
+	w.ctl = &controller{core: NewCore(w.token), clock: c, token: w.token}
+	w.wake(w.ctl, 0)
+}
+
+// kill ends the controller; another takes over once its lease has ended.
+func (w *world) kill(wait int64) {
+	w.ctl.dead = true
+	w.after(wait, func() { w.takeOver(w.goodClock()) })
+}
+
+// freeze stops the controller, another takes over, and then it goes on.
+func (w *world) freeze(ms int64) {
+	w.ctl.frozen = w.now + ms
+	w.after(min(ms, 5000), func() { w.takeOver(w.goodClock()) })
+}
+
+func (w *world) wake(c *controller, ms int64) {
+	at := w.now + max(ms, 1)
+	if c.armed > w.now && c.armed <= at {
+		return
+	}
+	c.armed = at
+	w.after(at-w.now, func() {
+		if c.armed == at && !c.dead {
+			w.step(c)
+		}
+	})
+}
+
+func (w *world) step(c *controller) {
+	if c.frozen > w.now {
+		w.wake(c, c.frozen-w.now)
+		return
+	}
+	if c.token != w.token && c.frozen < w.now-10_000 {
+		return // it has noticed by now
+	}
+	now := Now{w.now, w.now + c.clock.off, c.clock.unc}
+	w.reports(c, now)
+	v := &View{Rev: w.rev, Table: w.table, Permits: w.permit, Up: w.up, Fleet: w.fleet}
+	for _, s := range w.sidecars {
+		v.Sidecars = append(v.Sidecars, s.name)
+	}
+	effects, wake := c.core.Step(now, v)
+	for _, e := range effects {
+		w.send(c, e)
+	}
+	w.wake(c, min(wake-w.now, 60_000))
+}
+
+// send carries a write to the leader and its answer back; either may be lost where the registry is down.
+func (w *world) send(c *controller, e Effect) {
+	stamp := Stamp{ControllerMS: w.now + c.clock.off, UncertaintyMS: c.clock.unc}
+	w.after(2+w.rng.Int64N(60), func() {
+		if c.frozen > w.now { // it was stopped with the write in its hands
+			w.after(c.frozen-w.now, func() { w.arrive(c, e, stamp) })
+			return
+		}
+		w.arrive(c, e, stamp)
+	})
+}
+
+func (w *world) arrive(c *controller, e Effect, stamp Stamp) {
+	if w.down || c.dead {
+		return
+	}
+	if w.onWrite != nil {
+		if w.onWrite(&e); c.dead {
+			return // killed before it reached the log
+		}
+	}
+	w.writes++
+	outcome := w.write(e, stamp, c.token)
+	rev := w.rev
+	w.after(2+w.rng.Int64N(60), func() {
+		if !c.dead {
+			c.core.Answered(Now{w.now, w.now + c.clock.off, c.clock.unc}, e, outcome, rev)
+			w.wake(c, 1)
+		}
+	})
+}
+
+// write is one record at its place in the log.
+func (w *world) write(e Effect, stamp Stamp, token uint64) Outcome {
+	if token != 0 && token != w.token && w.plant == nil {
+		return Stale // the guard of the state that holds the table
+	}
+	w.rev++
+	if e.Act != nil {
+		return w.ledger(e.Act)
+	}
+	stamp.LeaderMS, stamp.LeaderUncertaintyMS = w.now+w.leader.off, w.leader.unc
+	op := *e.Op
+	if w.plant != nil {
+		w.plant(w, &op, &stamp)
+	}
+	res := w.table.Apply(w.rev, &op, stamp)
+	if res.Outcome != Applied {
+		return res.Outcome
+	}
+	w.judge.applied(w, &op, token)
+	if win := w.table.Window(op.Name); win != nil && op.Kind != OpTell && op.Kind != OpPlan {
+		w.log = append(w.log, fmt.Sprintf("%s %s/%d", op.Kind, op.Name, win.Attempt))
+	}
+	for _, entry := range res.Set {
+		entry.UntilMS += w.lie
+		entry.Rev = w.rev
+		w.tell(entry)
+	}
+	for _, id := range res.Drop {
+		w.drop(id)
+	}
+	w.work(&op)
+	return Applied
+}
+
+// operate is an operator's write.
+func (w *world) operate(op Op) Outcome {
+	at := w.now + w.leader.off
+	return w.write(Effect{Op: &op}, Stamp{ControllerMS: at, UncertaintyMS: 250}, 0)
+}
+
+func (w *world) ledger(a *Act) Outcome {
+	stage, known := w.permit[a.ID]
+	switch {
+	case a.Kind == disruption.OpAsk && !known:
+		w.permit[a.ID] = disruption.Asked
+		w.after(100+w.rng.Int64N(3000), func() { w.grant(a.ID) })
+	case a.Kind == disruption.OpBegin && stage == disruption.Granted:
+		w.permit[a.ID] = disruption.Out
+	case a.Kind == disruption.OpReturn && stage == disruption.Out:
+		w.permit[a.ID] = disruption.Returning
+	case a.Kind == disruption.OpCancel && (stage == disruption.Asked || stage == disruption.Granted):
+		delete(w.permit, a.ID)
+	case a.Kind == disruption.OpSettle && stage == disruption.Returning:
+		for _, uid := range a.Servers {
+			if !w.up[uid] {
+				return Held
+			}
+		}
+		delete(w.permit, a.ID)
+	default:
+		return Applied // a repeat
+	}
+	w.log = append(w.log, string(a.Kind)+" "+a.ID)
+	return Applied
+}
+
+func (w *world) grant(id string) {
+	switch stage := w.permit[id]; {
+	case stage != disruption.Asked:
+	case w.held:
+		w.after(5000, func() { w.grant(id) })
+	default:
+		w.permit[id] = disruption.Granted
+		w.rev++
+	}
+}
+
+// tell carries an entry to the sidecars that hear. What is left is said by the replica's clock, as the line is written.
+func (w *world) tell(e placement.Entry) {
+	for _, s := range w.sidecars {
+		left := e.UntilMS - (w.now + w.leader.off)
+		w.after(5+w.rng.Int64N(300), func() {
+			if s.cut || w.down && w.rng.IntN(2) == 0 {
+				return
+			}
+			s.rev = max(s.rev, e.Rev)
+			end := min(e.UntilMS-s.clock.off, w.now+min(left, StepMS))
+			if end <= w.now {
+				return
+			}
+			f := s.forced[e.ID]
+			if f != nil && f.end <= w.now {
+				w.lapse(s, f)
+				f = nil
+			}
+			if f == nil {
+				f = &forced{since: w.now, drain: w.now + 3000 + w.rng.Int64N(40_000)}
+				s.forced[e.ID] = f
+			}
+			f.e, f.end = e, end
+		})
+	}
+}
+
+func (w *world) drop(id string) {
+	for _, s := range w.sidecars {
+		w.after(5+w.rng.Int64N(300), func() {
+			if f := s.forced[id]; f != nil && !s.cut && !w.down {
+				f.end = min(f.end, w.now)
+				w.lapse(s, f)
+			}
+		})
+	}
+}
+
+func (w *world) lapse(s *sidecar, f *forced) {
+	delete(s.forced, f.e.ID)
+	w.judge.kept(w, f.e.Tenant, f.since, f.end)
+}
+
+func (w *world) reports(c *controller, now Now) {
+	for _, s := range w.sidecars {
+		if s.cut || w.down {
+			continue
+		}
+		r := placement.Report{Name: s.name, Rev: s.rev, Open: map[string]int{}}
+		for _, id := range sortedKeys(s.forced) {
+			f := s.forced[id]
+			if f.end <= w.now {
+				w.lapse(s, f)
+				continue
+			}
+			r.Open[id] = 0
+			if f.drain > w.now {
+				r.Open[id] = 1
+			}
+		}
+		c.core.Heard(now, r)
+	}
+}
+
+// work is what the people and servers do that a window is for.
+func (w *world) work(op *Op) {
+	win := w.table.Window(op.Name)
+	if win == nil {
+		return
+	}
+	switch {
+	case op.Kind == OpFree:
+		for _, uid := range win.Servers {
+			w.up[uid] = false
+		}
+	case win.Stage == Returning || win.Stage == Overrun && win.Out():
+		ms := 5000 + w.rng.Int64N(40_000)
+		if w.slowReturn {
+			ms += 6 * 3600_000
+		}
+		if op.Kind != OpTell {
+			w.after(ms, func() {
+				for _, uid := range win.Servers {
+					w.up[uid] = true
+				}
+				w.rev++
+			})
+		}
+	}
+}
+
+// judge sees what sidecars did and what was applied, and asks the wall clocks itself.
+type judge struct {
+	terms   map[string][]terms // by tenant, in order of time
+	outside int64              // ms kept off outside approved hours
+	kepts   int64
+	first   string
+	out     map[string]int64 // when windows went out
+	used    map[string]int64 // ms by tenant and month
+	tokens  uint64
+	broken  []string
+	unsure  bool // clocks were wrong: minutes are not compared
+}
+
+// terms are a contract's hours as the judge knows them, from an instant on.
+type terms struct {
+	from       int64
+	loc        *time.Location
+	start, len int // minutes
+	none       bool
+}
+
+func newJudge() *judge {
+	return &judge{terms: map[string][]terms{}, out: map[string]int64{}, used: map[string]int64{}}
+}
+
+func wallOf(t int64, loc *time.Location) int64 {
+	at := time.UnixMilli(t).In(loc)
+	_, off := at.Zone()
+	return t + int64(off)*1000
+}
+
+// approves reads the wall, and the time passed since the wall first showed the start.
+func (m *terms) approves(t int64) bool {
+	if m.none {
+		return false
+	}
+	const dayMS = 24 * 3600_000
+	wall := wallOf(t, m.loc)
+	length := int64(m.len) * 60_000
+	for start := wall - wall%dayMS - dayMS + int64(m.start)*60_000; start <= wall; start += dayMS {
+		if wall >= start+length {
+			continue
+		}
+		first := t - length - 3*3600_000
+		for step := int64(3600_000); step >= 1000; step /= 60 { // to the second
+			for wallOf(first+step, m.loc) < start {
+				first += step
+			}
+		}
+		if t-first-1000 < length {
+			return true
+		}
+	}
+	return false
+}
+
+func (j *judge) kept(w *world, tenant string, from, until int64) {
+	j.kepts += until - from
+	list := j.terms[tenant]
+	at := func(t int64) bool {
+		for i := len(list) - 1; i >= 0; i-- {
+			if list[i].from <= t && list[i].approves(t) {
+				return true
+			}
+			// What was told under the terms before may last for a step.
+			if list[i].from+StepMS <= t {
+				return false
+			}
+		}
+		return false
+	}
+	for t := from; t < until; t += min(60_000, until-t) {
+		if !at(t) || !at(min(t+59_999, until-1)) {
+			j.outside += min(60_000, until-t)
+			if j.first == "" {
+				j.first = fmt.Sprintf("%s kept off from %s to %s", tenant, utc(from), utc(until))
+			}
+		}
+	}
+}
+
+func (j *judge) applied(w *world, op *Op, token uint64) {
+	if token != 0 {
+		if token < j.tokens {
+			j.broken = append(j.broken, fmt.Sprintf("%s %s under token %d after %d", op.Kind, op.Name, token, j.tokens))
+		}
+		j.tokens = max(j.tokens, token)
+	}
+	win := w.table.Window(op.Name)
+	switch op.Kind {
+	case OpDrain:
+		j.out[op.Name] = w.now
+		for _, other := range w.table.Windows() {
+			if other.Name != op.Name && other.Out() && share(other.Servers, win.Servers) {
+				j.broken = append(j.broken, other.Name+" and "+op.Name+" have a server")
+			}
+		}
+	case OpBack:
+		for tenant := range w.fleet.TenantsOf(w.table, win.Servers) {
+			if list := j.terms[tenant]; len(list) > 0 {
+				for t := j.out[op.Name]; t < w.now; t += min(1000, w.now-t) {
+					j.used[tenant+" "+time.UnixMilli(t).In(list[0].loc).Format("2006-01")] += min(1000, w.now-t)
+				}
+			}
+		}
+	}
+}
+
+// daily is a contract with the same hours each day, and the judge's terms for it.
+func daily(tenant, zone, start string, length time.Duration) (contract.Contract, terms) {
+	at, _ := time.Parse("15:04", start)
+	loc, err := time.LoadLocation(zone)
+	if err != nil {
+		panic(err)
+	}
+	return contract.Contract{Tenant: tenant, Notice: "0s", MinutesAMonth: 10_000, LeastShare: 0.5, WindowsAtOnce: 2, OnOverrun: contract.HaltOthers,
+		Spec: hours.Spec{Zone: zone, Open: []hours.Rule{{Rule: "FREQ=DAILY", Start: start, Length: length.String(), From: "2020-01-01"}}}},
+		terms{loc: loc, start: at.Hour()*60 + at.Minute(), len: int(length / time.Minute)}
+}
+
+// agree sets a contract, as an operator does.
+func (w *world) agree(c contract.Contract, m terms) {
+	p := NewPlanner()
+	kept := &Kept{Contract: c}
+	grant := p.Grant(kept, w.now, 0)
+	if out := w.operate(Op{Kind: OpContract, Contract: &c, Grant: grant}); out != Applied {
+		panic(out)
+	}
+	m.from = w.now
+	w.judge.terms[c.Tenant] = append(w.judge.terms[c.Tenant], m)
+}
+
+// end lets all entries lapse and gives what the judge found.
+func (w *world) end() []string {
+	w.run(w.now + 2*StepMS)
+	for _, s := range w.sidecars {
+		for _, id := range sortedKeys(s.forced) {
+			w.lapse(s, s.forced[id])
+		}
+	}
+	j := w.judge
+	if j.outside > 0 {
+		j.broken = append(j.broken, fmt.Sprintf("%d ms outside the hours: %s", j.outside, j.first))
+	}
+	if !j.unsure {
+		for _, key := range sortedKeys(j.used) {
+			var tenant, month string
+			fmt.Sscan(key, &tenant, &month)
+			if got, want := w.table.UsedMS(tenant, month), j.used[key]; got < want-2000 || got > want+20_000 {
+				j.broken = append(j.broken, fmt.Sprintf("%s: %d ms counted, %d ms used", key, got, want))
+			}
+		}
+	}
+	seen := map[string]bool{}
+	for _, line := range w.log {
+		if seen[line] {
+			j.broken = append(j.broken, "done twice: "+line)
+		}
+		seen[line] = true
+	}
+	return j.broken
+}
