--- a/internal/window/control.go
+++ b/internal/window/control.go
@@ -10,11 +10,11 @@
 
 // Times of the controller, by its own monotonic clock unless they are compared with logged ones.
 const (
-	againMS  = 2000 // a write without an answer, or one that was refused, is tried again after this long
-	doubtMS  = 5000 // the same after doubt about time: clocks are not mended sooner, and each try is in the log
-	freshMS  = 3000 // reports come once a second: three were lost
-	lookMS   = 1000 // while servers are out or asked for
-	restMS   = 60_000
+	againMS  = 2000        // a write without an answer, or one that was refused, is tried again after this long
+	doubtMS  = 5000        // the same after doubt about time: clocks are not mended sooner, and each try is in the log
+	freshMS  = 3000        // reports come once a second: three were lost
+	lookMS   = 1000        // while servers are out or asked for
+	restMS   = 600_000     // the program asks again sooner where something has changed
 	pressMS  = 10 * 60_000 // with less time than this to spare, the close presses
 	leaderMS = 500         // what the leader's clock is taken to be off: beyond it the last prolongation is refused
 	maxHeard = 20_000      // reports kept, one for each sidecar
@@ -109,7 +109,7 @@
 	list := v.Table.Windows()
 	slices.SortStableFunc(list, func(a, b *Window) int { return cmp.Compare(a.CloseMS, b.CloseMS) })
 	wake = now.MonoMS + restMS
-	s := &look{c, v, v.Table, now, v.Table.clock(Stamp{now.WallMS, now.UncertaintyMS, now.WallMS, now.UncertaintyMS})}
+	s := &look{c: c, v: v, t: v.Table, now: now, at: v.Table.clock(Stamp{now.WallMS, now.UncertaintyMS, now.WallMS, now.UncertaintyMS})}
 	for _, w := range list {
 		wake = min(wake, s.wake(w))
 		if v.Rev < c.seen[w.Name] || now.MonoMS < c.sent[w.Name] {
@@ -149,6 +149,8 @@
 	t   *Table
 	now Now
 	at  instant
+
+	planned bool // one a step: the next is planned around it
 }
 
 func (s *look) wake(w *Window) int64 {
@@ -202,6 +204,10 @@
 }
 
 func (s *look) plan(w *Window) Effect {
+	if s.planned {
+		return Effect{}
+	}
+	s.planned = true
 	p, err := s.c.planner.Plan(s.t, s.v.Fleet, Wish{w.Name, w.Servers, w.WorkMS, w.AfterMS, w.ProposedMS}, s.at.hi)
 	if err != nil {
 		why := err.Error()
--- a/internal/window/estimate.go
+++ b/internal/window/estimate.go
@@ -14,6 +14,9 @@
 	quantile = 0.95
 	margin   = 1.5
 	leastMS  = 10_000 // nothing is over sooner: reports come once a second, steps take their time
+	// One time counts for at most so many times what was estimated: a server that was gone for a night would else shut
+	// all hours out until it is forgotten. Where times really are longer, a few of them tell.
+	outlier = 4
 )
 
 // DrainMS is the time that a drain is taken to need.
@@ -38,10 +41,10 @@
 	return max(least, int64(margin*float64(sorted[at])))
 }
 
-// learn keeps one more time.
-func learn(times []int64, ms int64) []int64 {
+// learn keeps one more time, which was estimated.
+func learn(times []int64, ms, estimated int64) []int64 {
 	if len(times) >= keptTimes {
 		times = slices.Delete(slices.Clone(times), 0, len(times)-keptTimes+1)
 	}
-	return append(times, max(ms, 0))
+	return append(times, min(max(ms, 0), outlier*estimated))
 }
--- a/internal/window/step.go
+++ b/internal/window/step.go
@@ -61,7 +61,7 @@
 			return Closed, "tenants may not keep off any more"
 		}
 		w.Stage, w.FreeMS = Free, at.lo
-		t.drains = learn(t.drains, at.hi-w.OutMS)
+		t.drains = learn(t.drains, at.hi-w.OutMS, t.DrainMS())
 	case OpFinish:
 		if w.Stage != Free {
 			return wrong()
@@ -82,10 +82,14 @@
 		}
 		if w.Stage == Draining && at.doubt == "" { // it would have taken at least so long
 			if took := at.hi - w.OutMS; took > t.DrainMS() {
-				t.drains = learn(t.drains, took)
+				t.drains = learn(t.drains, took, t.DrainMS())
 			}
 		}
-		w.turn(o.End, o.Why, at)
+		end, why := o.End, o.Why
+		if end == Done && at.doubt != "" { // whether the work's time is over cannot be told
+			end, why = Halted, at.doubt
+		}
+		w.turn(end, why, at)
 	case OpOverrun:
 		if !w.Out() || w.Stage == Overrun {
 			return wrong()
@@ -284,7 +288,7 @@
 	now = max(now, w.OutMS)
 	t.count(w, w.OutMS, now)
 	if at.doubt == "" && w.FreeMS != 0 {
-		t.returns = learn(t.returns, now-w.ReturnMS)
+		t.returns = learn(t.returns, now-w.ReturnMS, t.ReturnMS())
 	}
 	w.BackMS, w.ToldMS = now, 0
 	switch {
--- a/internal/window/types.go
+++ b/internal/window/types.go
@@ -10,6 +10,7 @@
 
 import (
 	"fmt"
+	"strconv"
 
 	"milldeck/internal/window/contract"
 	"milldeck/internal/window/hours"
@@ -117,7 +118,7 @@
 	if w.Attempt == 0 {
 		return ""
 	}
-	return fmt.Sprintf("window/%s/%d", w.Name, w.Attempt)
+	return "window/" + w.Name + "/" + strconv.Itoa(w.Attempt)
 }
 
 // Kept is a contract in force.
