--- a/internal/window/apply.go
+++ b/internal/window/apply.go
@@ -22,7 +22,7 @@
 	bad := func(field, format string, args ...any) error {
 		return fmt.Errorf("%s: %s", field, fmt.Sprintf(format, args...))
 	}
-	named := o.Kind != OpContract && o.Kind != OpWithdraw && o.Kind != OpHalt && o.Kind != OpResume
+	named := o.Kind != OpContract && o.Kind != OpWithdraw && o.Kind != OpHalt && o.Kind != OpResume && o.Kind != OpForget
 	switch {
 	case named && (o.Name == "" || len(o.Name) > maxName || strings.Contains(o.Name, "/")):
 		return bad("name", "%q is not 1 to %d characters without a slash", o.Name, maxName)
@@ -105,6 +105,9 @@
 		return t.halt(rev, o, at)
 	case OpPropose:
 		return t.propose(rev, o, at)
+	case OpForget:
+		t.drains, t.returns = nil, nil
+		return Applied, ""
 	}
 	old := t.windows[o.Name]
 	if old == nil {
--- a/internal/window/estimate.go
+++ b/internal/window/estimate.go
@@ -37,7 +37,7 @@
 		return least
 	}
 	sorted := slices.Sorted(slices.Values(times))
-	at := min(int(quantile*float64(len(sorted))), len(sorted)-1)
+	at := int(quantile * float64(len(sorted)-1)) // never the greatest of several: one server that was gone tells nothing
 	return max(least, int64(margin*float64(sorted[at])))
 }
 
--- a/internal/window/types.go
+++ b/internal/window/types.go
@@ -169,6 +169,7 @@
 	OpFinish   OpKind = "finish"   // the work of Name is done before its time
 	OpHalt     OpKind = "halt"     // Scope, Why
 	OpResume   OpKind = "resume"   // Scope
+	OpForget   OpKind = "forget"   // what drains and returns took, after a night that was like no other
 
 	OpPlan    OpKind = "plan"    // Name may begin at FromMS under Grants
 	OpRefuse  OpKind = "refuse"  // Name cannot be, Why
