--- a/internal/window/apply.go
+++ b/internal/window/apply.go
@@ -98,9 +98,9 @@
 func (t *Table) do(rev uint64, o *Op, at instant) (Outcome, string) {
 	switch o.Kind {
 	case OpContract:
-		return t.setContract(rev, o)
+		return t.setContract(rev, o, at)
 	case OpWithdraw:
-		return t.withdraw(rev, o.Tenant)
+		return t.withdraw(rev, o.Tenant, at)
 	case OpHalt, OpResume:
 		return t.halt(rev, o, at)
 	case OpPropose:
@@ -146,7 +146,7 @@
 
 // setContract brings a contract into force. It acts at once on windows under way: whom it approves now goes on under
 // it, for whom it does not the tenant is told nothing any more.
-func (t *Table) setContract(rev uint64, o *Op) (Outcome, string) {
+func (t *Table) setContract(rev uint64, o *Op, at instant) (Outcome, string) {
 	c := o.Contract
 	if c == nil || c.Tenant == "" || (o.Grant != nil && o.Grant.Tenant != c.Tenant) {
 		return Bad, "no contract, or a grant of another tenant"
@@ -154,7 +154,7 @@
 	if t.contracts[c.Tenant] == nil && len(t.contracts) >= MaxContracts {
 		return TooMany, fmt.Sprintf("there are %d contracts", len(t.contracts))
 	}
-	t.touching(rev, c.Tenant, func() { t.contracts[c.Tenant] = &Kept{Contract: *c, Version: rev} }, func(g *Grant) {
+	t.touching(rev, at, c.Tenant, func() { t.contracts[c.Tenant] = &Kept{Contract: *c, Version: rev} }, func(g *Grant) {
 		if o.Grant != nil && len(o.Grant.Months) > 0 {
 			servers := g.Servers
 			*g = *o.Grant
@@ -164,16 +164,16 @@
 	return Applied, ""
 }
 
-func (t *Table) withdraw(rev uint64, tenant string) (Outcome, string) {
+func (t *Table) withdraw(rev uint64, tenant string, at instant) (Outcome, string) {
 	if t.contracts[tenant] == nil {
 		return NotFound, "there is no contract of " + tenant
 	}
-	t.touching(rev, tenant, func() { delete(t.contracts, tenant) }, func(*Grant) {})
+	t.touching(rev, at, tenant, func() { delete(t.contracts, tenant) }, func(*Grant) {})
 	return Applied, ""
 }
 
 // touching carries out a change of a tenant's contract, and regrants the tenant's windows that are out.
-func (t *Table) touching(rev uint64, tenant string, change func(), regrant func(*Grant)) {
+func (t *Table) touching(rev uint64, at instant, tenant string, change func(), regrant func(*Grant)) {
 	type touched struct {
 		old *Window
 		ids []string
@@ -207,7 +207,7 @@
 			}
 		}
 		for _, e := range still { // a changed least share is told too
-			if e.Tenant == tenant {
+			if e.Tenant == tenant && e.UntilMS > at.hi && at.doubt == "" {
 				t.set = append(t.set, e)
 			}
 		}
--- a/internal/window/control.go
+++ b/internal/window/control.go
@@ -35,14 +35,15 @@
 	Rev      uint64
 	Table    *Table
 	Permits  map[string]disruption.Stage // of the ledger, by id
-	Up       map[string]bool             // servers by uid that are up in the ledger
+	Up       map[string]bool             // servers by uid for which the ledger has evidence that they are up, or back
 	Fleet    Fleet
 	Sidecars []string // that live: all of them have to say that they keep off
 }
 
-// Act is what the controller asks of the ledger. All acts may be repeated: the ledger takes each once.
+// Act is what the controller asks of the ledger. All acts may be repeated: the ledger takes each once. To see is to look
+// at the servers and write what was found: what has not been looked at since the way back began is no evidence.
 type Act struct {
-	Kind    disruption.OpKind // ask, begin, return, settle or cancel
+	Kind    disruption.OpKind // ask, begin, return, see, settle or cancel
 	ID      string
 	Servers []string
 	Rank    disruption.Rank
@@ -64,6 +65,7 @@
 	sent    map[string]int64  // by window: not before this monotonic time again
 	seen    map[string]uint64 // by window: a view has to be at least of this revision
 	heard   map[string]report
+	never   map[string]string // by window: why its permit can never be granted
 }
 
 type report struct {
@@ -73,7 +75,8 @@
 
 // NewCore is the controller that holds the duty under a token.
 func NewCore(token uint64) *Core {
-	return &Core{token: token, planner: NewPlanner(), sent: map[string]int64{}, seen: map[string]uint64{}, heard: map[string]report{}}
+	return &Core{token: token, planner: NewPlanner(), sent: map[string]int64{}, seen: map[string]uint64{}, heard: map[string]report{},
+		never: map[string]string{}}
 }
 
 // Heard takes in a sidecar's report.
@@ -92,12 +95,17 @@
 }
 
 // Answered takes in what became of an effect, and the revision of the log that has it.
-func (c *Core) Answered(now Now, e Effect, outcome Outcome, rev uint64) {
+func (c *Core) Answered(now Now, e Effect, outcome Outcome, why string, rev uint64) {
 	c.seen[e.Window] = max(c.seen[e.Window], rev)
-	switch outcome {
-	case Applied:
+	if e.Act != nil && e.Act.Kind == disruption.OpAsk && outcome == Bad {
+		c.never[e.Window] = why
+	}
+	switch {
+	case e.Act != nil && e.Act.Kind == disruption.OpSee:
+		c.sent[e.Window] = now.MonoMS + againMS // servers take their time
+	case outcome == Applied:
 		delete(c.sent, e.Window)
-	case Doubt:
+	case outcome == Doubt:
 		c.sent[e.Window] = now.MonoMS + doubtMS
 	default:
 		c.sent[e.Window] = now.MonoMS + againMS
@@ -125,7 +133,6 @@
 		}
 		e.Window = w.Name
 		c.sent[w.Name] = now.MonoMS + againMS
-		wake = min(wake, now.MonoMS+againMS)
 		effects = append(effects, e)
 	}
 	c.forget(v.Table)
@@ -138,6 +145,7 @@
 		if t.Window(name) == nil {
 			delete(c.seen, name)
 			delete(c.sent, name)
+			delete(c.never, name)
 		}
 	}
 }
@@ -157,6 +165,8 @@
 	switch {
 	case w.Ended() || w.Stage == Halted:
 		return s.now.MonoMS + restMS
+	case w.Stage == Overrun:
+		return s.now.MonoMS + TellEveryMS
 	case w.Stage == Approved && s.at.lo < w.FromMS:
 		return s.now.MonoMS + min(restMS, w.FromMS-s.at.lo)
 	case w.Stage == Free:
@@ -248,6 +258,10 @@
 }
 
 func (s *look) waiting(w *Window) Effect {
+	if why, is := s.c.never[w.Name]; is {
+		delete(s.c.never, w.Name)
+		return operation(Op{Kind: OpRefuse, Why: why[:min(len(why), maxWhy)]})
+	}
 	outcome, _ := s.t.mayDrain(w, s.at)
 	switch stage, known := s.v.Permits[w.PermitID()]; {
 	case outcome != Applied || !s.granted(w):
@@ -287,6 +301,8 @@
 		return operation(Op{Kind: OpReturn, End: Halted, Why: "its permit was taken away"})
 	case permit == disruption.Granted:
 		return act(disruption.OpBegin, w, 0)
+	case permit != disruption.Out: // a halt has taken the grant back
+		return Effect{}
 	case s.empty(w):
 		return operation(Op{Kind: OpFree})
 	}
@@ -345,7 +361,7 @@
 		up = up && s.v.Up[uid]
 	}
 	switch permit := s.permit(w); {
-	case permit == disruption.Granted: // it never began
+	case permit == disruption.Asked || permit == disruption.Granted: // it never began
 		return act(disruption.OpCancel, w, 0)
 	case permit == disruption.Out:
 		return act(disruption.OpReturn, w, 0)
@@ -355,10 +371,11 @@
 		return act(disruption.OpSettle, w, 0)
 	case w.Stage == Returning && s.at.hi >= w.CloseMS && s.t.InDoubt() == "":
 		return operation(Op{Kind: OpOverrun})
-	case w.Stage == Returning && s.at.doubt == "":
-		return s.tell(w)
 	}
-	return Effect{}
+	if e := s.tell(w); w.Stage == Returning && e.Op != nil {
+		return e
+	}
+	return act(disruption.OpSee, w, 0)
 }
 
 // tell prolongs what tenants are told, in time and never past the close.
--- a/internal/window/step.go
+++ b/internal/window/step.go
@@ -252,9 +252,14 @@
 	if why := t.haltOf(w); why != "" && w.Stage == Draining {
 		return Held, why
 	}
-	if o.UntilMS > min(at.stamp.ControllerMS, at.stamp.LeaderMS+MaxApartMS)+StepMS || o.UntilMS <= at.lo {
+	if o.UntilMS > min(at.stamp.ControllerMS, at.stamp.LeaderMS+MaxApartMS)+StepMS || o.UntilMS <= at.hi {
 		return Closed, fmt.Sprintf("until is not within %d ms", StepMS)
 	}
+	if t.Permit != nil && w.Stage == Draining {
+		if stage, is := t.Permit(w.PermitID()); !is || stage != disruption.Out {
+			return Held, "permit " + w.PermitID() + " has not begun"
+		}
+	}
 	valid := 0
 	for i := range w.Grants {
 		g := &w.Grants[i]
