--- a/internal/window/hard_test.go
+++ b/internal/window/hard_test.go
@@ -62,6 +62,7 @@
 	t.Run("a calm evening", func(t *testing.T) {
 		w := begin(t)
 		win := w.until(t, "w", Done)
+		w.run(w.now + 1000) // sidecars hear of it
 		if win.BackMS > win.CloseMS || w.table.UsedMS("portal", "2026-06") < 5*minute || w.judge.kepts == 0 {
 			t.Errorf("%+v", win)
 		}
