--- a/cmd/milldeck/main.go
+++ b/cmd/milldeck/main.go
@@ -80,6 +80,7 @@
 	flags.StringVar(&level, "log-level", "info", "least level that is logged: debug, info, warn or error")
 	flags.StringVar(&format, "log-format", "text", "form of the log: text or json")
 	root.AddCommand(newVersion(), newLab(), newRegistry(), newDuty(), newAgent())
+	root.AddCommand(newWindow(), newContract())
 	return root
 }
 
--- /dev/null
+++ b/cmd/milldeck/window_test.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const portal = `tenant = "portal"
+zone = "Europe/Madrid"
+notice = "1h"
+minutes_a_month = 600
+least_share = 0.5
+windows_at_once = 1
+on_overrun = "halt"
+
+[[hours]]
+rule = "FREQ=DAILY"
+start = "22:00"
+length = "6h"
+from = "2026-01-05"
+`
+
+func TestWindowPlanAndContractCheck(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	one := write("portal.toml", portal)
+	two := write("teller.toml", strings.NewReplacer(`"portal"`, `"teller"`, "22:00", "02:00").Replace(portal))
+	wish := write("w.toml", "name = \"w\"\nservers = [\"a\"]\nwork = \"30m\"\n[fleet]\na = [\"portal\", \"teller\"]\nb = []\n")
+	long := write("long.toml", "name = \"w\"\nservers = [\"a\"]\nwork = \"3h\"\n[fleet]\na = [\"portal\", \"teller\"]\nb = []\n")
+	for _, c := range []struct {
+		args []string
+		code int
+		want []string
+	}{
+		{[]string{"contract", "check", one, "--at", "2026-10-24T00:00:00Z", "--days", "2"}, 0,
+			[]string{"Sat 2026-10-24 22:00 CEST to Sun 03:00 CET", "(10-24 20:00 to 02:00 UTC)"}},
+		{[]string{"window", "plan", wish, "--contract", one, "--contract", two, "--at", "2026-06-10T12:00:00Z"}, 0,
+			[]string{"w may begin at Thu 2026-06-11 00:00 UTC", "portal approves from Wed 2026-06-10 22:00 CEST", "teller approves from"}},
+		{[]string{"window", "plan", long, "--contract", one, "--contract", two, "--at", "2026-06-10T12:00:00Z"}, exitFailed,
+			[]string{"contract of teller forbids it; without it from 2026-06-10T20:00:00Z on; work of"}},
+		{[]string{"window", "plan", wish, "--contract", one}, exitFailed, []string{"there is no contract of teller"}},
+		{[]string{"window", "plan", one}, exitUsage, []string{"portal.toml:1: tenant: unknown key"}},
+		{[]string{"window", "plan", wish, "--at", "noon"}, exitUsage, []string{"--at"}},
+		{[]string{"contract", "check", wish}, exitUsage, []string{"w.toml:1: name: unknown key"}},
+	} {
+		code, out, errOut := command(t, c.args...)
+		for _, want := range c.want {
+			if code != c.code || !strings.Contains(out+errOut, want) {
+				t.Errorf("%v: exit %d, %q, want %d and %q", c.args, code, out+errOut, c.code, want)
+			}
+		}
+	}
+}
--- a/internal/window/contract/contract.go
+++ b/internal/window/contract/contract.go
@@ -90,6 +90,9 @@
 	case c.OnOverrun != HaltOthers && c.OnOverrun != CountOnly:
 		return fault("on_overrun", "%q is not %q or %q", c.OnOverrun, HaltOthers, CountOnly)
 	}
-	_, err = hours.Compile(c.Spec)
+	_, err = c.Hours()
 	return err
 }
+
+// Hours are the approved hours, made ready.
+func (c *Contract) Hours() (*hours.Hours, error) { return hours.Compile(c.Spec) }
--- a/internal/window/plan.go
+++ b/internal/window/plan.go
@@ -77,7 +77,7 @@
 	if r, is := p.ready[c.Tenant]; is && r.version == c.Version {
 		return r.hours, nil
 	}
-	h, err := hours.Compile(c.Spec)
+	h, err := c.Hours()
 	if err != nil {
 		return nil, fmt.Errorf("contract of %s: %w", c.Tenant, err)
 	}
