--- a/balance/placement.go
+++ b/balance/placement.go
@@ -8,8 +8,8 @@
 const (
 	// A copy that is told no share gets a trickle, this part of its key's load: by it a new one gets warm,
 	// and one that cools is still warm when it is wanted again.
-	trickle  = 0.02
-	trickles = 0.2 // ... for all of these together
+	trickle  = 0.05
+	trickles = 0.5 // ... for all of these together: what a hot key's own servers cannot do may as well warm
 	// The golden section of a key's turn: steps of it meet each part of the turn as often as it is long,
 	// however few they are. Weighted round robin's first picks do not go by weight, and here few come.
 	spreadStep = 0.6180339887498949
--- a/internal/lab/judge_spread.go
+++ b/internal/lab/judge_spread.go
@@ -28,6 +28,7 @@
 	found           []float64       // by hot time and key: ms until a copy carried; below 0: none did
 	hot, rest       struct{ asked, served float64 }
 	choked          float64
+	warm, keyed     float64 // requests by key that servers ran, and those for keys that were warm there
 }
 
 // carried is a server that the placement has made carry a key.
@@ -121,6 +122,10 @@
 
 // Ran: a server has ended a job.
 func (s *SpreadJudge) Ran(server int, end *Ended) {
+	if end.Effect && end.Key != 0 {
+		s.keyed++
+		s.warm += btof(end.Met)
+	}
 	c := s.copies[end.Key][server]
 	if c == nil || end.At > c.until || end.How == Expired || !end.Effect {
 		return
@@ -205,6 +210,7 @@
 		"spread_cold_ms":        round(s.cold),
 		"spread_cold_of_budget": round(s.mostLevel / (1000 * s.rate)),
 		"spread_copies_of_most": round(s.mostCopies),
+		"warm_share":            share(s.warm, s.keyed),
 		"choked_server_s":       round(s.choked),
 	}
 }
--- a/internal/spread/config.go
+++ b/internal/spread/config.go
@@ -42,10 +42,12 @@
 func Default(bear, work float64) Config {
 	return Config{
 		Bear: bear, Work: work,
-		Half:    0.7,                              // an onset has to show within a second
-		Full:    0.8,                              // above it queues grow faster than they are worth
-		MinRoom: 0.1,                              // less than that, and chance alone fills a server
-		Trickle: 0.02, Trickles: 0.2, Warmers: 10, // a hot key has hundreds of requests a second: each warms within one
+		Half:    0.7, // an onset has to show within a second
+		Full:    0.8, // above it queues grow faster than they are worth
+		MinRoom: 0.1, // less than that, and chance alone fills a server
+		// A hot key's own servers choke within 2 s, and what they cannot do may as well warm: with 0.02 and 0.2 copies
+		// carry half a second later, which costs 0.05 of the worth in experiments/hot-key.toml.
+		Trickle: 0.05, Trickles: 0.5, Warmers: 10,
 		Warm: 3, Ramp: 12, // the first answer alone warms; the others show that the server is well
 		ColdWork: 3 * work,                   // as many cold answers as Warm, each about twice its work
 		Budget:   0.03, Least: 10 * 3 * work, // ten copies a second in the smallest fleet
--- a/internal/spread/widen.go
+++ b/internal/spread/widen.go
@@ -40,6 +40,9 @@
 			return 0
 		}
 		if w.k.keep > w.have {
+			if w.k.count(Warming) >= max(d.cfg.Warmers/2, 1) { // what leaves still carries, and is not to lose its part at once
+				return 0
+			}
 			return math.Inf(1)
 		}
 		if len(w.k.copies) >= widest {
