--- a/internal/lab/judge_spread.go
+++ b/internal/lab/judge_spread.go
@@ -94,6 +94,10 @@
 		}
 		of[server] = &carried{share, math.Inf(1)}
 	}
+}
+
+// Written: all that was placed at once is told.
+func (s *SpreadJudge) Written(now float64) {
 	ready := 0
 	for _, n := range s.ready {
 		ready = max(ready, n)
--- a/internal/lab/sim/spread.go
+++ b/internal/lab/sim/spread.go
@@ -255,6 +255,7 @@
 		}
 		by.Wrote(id, s.rev)
 	}
+	s.judge.Written(now)
 	s.told = balance.Placement{}
 	for _, id := range slices.Sorted(maps.Keys(s.entries)) {
 		e := s.entries[id]
--- /dev/null
+++ b/internal/lab/spread_test.go
@@ -0,0 +1,131 @@
+package lab
+
+import (
+	"os"
+	"strings"
+	"testing"
+)
+
+func hotFile(t *testing.T, change ...string) (*File, error) {
+	t.Helper()
+	data, err := os.ReadFile("../../experiments/hot-key.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := string(data)
+	for i := 0; i < len(change); i += 2 {
+		if !strings.Contains(text, change[i]) {
+			t.Fatalf("no %q", change[i])
+		}
+		text = strings.Replace(text, change[i], change[i+1], 1)
+	}
+	return Parse("hot-key.toml", []byte(text))
+}
+
+// The hot keys have their part of the requests from their onset on, move, and were rare before.
+func TestHotPhase(t *testing.T) {
+	f, err := hotFile(t, "\npart = 0.3", "\npart = 0.3\nhot = 2\nmove_s = 5")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := f.Draw(3)
+	if len(p.hots) != 5 || len(p.HotKeys()) != 10 {
+		t.Fatalf("%d times, %d keys", len(p.hots), len(p.HotKeys()))
+	}
+	all, hot, early := make([]int, 6), make([]int, 6), 0
+	for from := p.Arrivals(); ; {
+		a, more := from.Next()
+		if !more {
+			break
+		}
+		i := int(a.At / 5000)
+		all[i]++
+		if i == 0 && p.HotKeys()[a.Key] {
+			early++
+		}
+		if h := p.hot(a.At); h != nil && (a.Key == h.keys[0] || a.Key == h.keys[1]) {
+			hot[i]++
+		}
+	}
+	for i := range all {
+		part := float64(hot[i]) / float64(all[i])
+		if i == 0 && (part != 0 || early > all[0]/50) || i > 0 && (part < 0.27 || part > 0.33) {
+			t.Errorf("%d s: %.3f of the requests", 5*i, part)
+		}
+	}
+	calm := f.Calm().Draw(3)
+	if len(calm.hots) != 0 || calm.File.Phases[1].Kind != "steady" {
+		t.Error("calm is not")
+	}
+}
+
+func TestHotKeysAreStrict(t *testing.T) {
+	for _, c := range []struct{ old, now, key string }{
+		{"\npart = 0.3", "\npart = 0\n", "part"},
+		{"\npart = 0.3", "\npart = 0.3\nhot = 2000", "hot"},
+		{"\npart = 0.3", "\npart = 0.3\nmove_s = 0.001", "move_s"},
+		{"keys = 2000", "keys = 1", "clients.keys"},
+		{"for_s = 5", "for_s = 5\nmove_s = 3", "kind"},
+		{"on = true", "on = true\noracle = true", "oracle"},
+		{"on = true", "on = true\nbudget = 2", "budget"},
+		{"on = true", "on = true\nfoo = 2", "foo"},
+		{"[[phase]]", "[[fault]]\nkind = \"decider-down\"\n[[phase]]", "for_s"},
+		{"[[phase]]", "[[fault]]\nkind = \"reports-lost\"\nfor_s = 1\n[[phase]]", "part"},
+		{"[[phase]]", "[[fault]]\nkind = \"reports-lie\"\ntarget = \"servers\"\nfor_s = 1\n[[phase]]", "target"},
+	} {
+		if _, err := hotFile(t, c.old, c.now); err == nil || !strings.Contains(err.Error(), c.key) {
+			t.Errorf("%q: %v", c.now, err)
+		}
+	}
+}
+
+// The judge counts cold work at servers that the placement made carry, and copies; nothing else.
+func TestSpreadJudge(t *testing.T) {
+	f, err := hotFile(t, "count = 40", "count = 5")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const key, paid = 7, 30 * 120 // ms of extra cold work that a small fleet may have at once, about
+	p := f.Draw(1)
+	run := func(s *SpreadJudge, at float64, server int, extra float64, met bool) {
+		s.Ran(server, &Ended{Job: Job{Key: key, Attempt: 1}, Effect: true, Met: met, Took: extra / 0.45, At: at})
+	}
+	for _, c := range []struct {
+		name string
+		do   func(s *SpreadJudge)
+		want int
+	}{
+		{"paid for", func(s *SpreadJudge) { run(s, 10, 1, 0.9*paid, false) }, 0},
+		{"too much at once", func(s *SpreadJudge) {
+			for range 4 {
+				run(s, 10, 1, 0.4*paid, false)
+			}
+		}, 1},
+		{"the same over four seconds", func(s *SpreadJudge) {
+			for i := range 4 {
+				run(s, 10+1000*float64(i), 1, 0.4*paid, false)
+			}
+		}, 0},
+		{"of its own servers", func(s *SpreadJudge) { run(s, 10, 0, 9*paid, false) }, 0},
+		{"warm", func(s *SpreadJudge) { run(s, 10, 1, 9*paid, true) }, 0},
+		{"just given up", func(s *SpreadJudge) { s.Placed(5, key, nil); run(s, 10, 1, 9*paid, false) }, 1},
+		{"long given up", func(s *SpreadJudge) { s.Placed(5, key, nil); run(s, 3000, 1, 9*paid, false) }, 0},
+		{"as many copies as servers", func(s *SpreadJudge) {
+			s.Placed(5, key, map[int]float64{1: 0, 2: 0, 3: 0})
+			s.Placed(5, 8, map[int]float64{1: 0, 2: 0})
+		}, 0},
+		{"one more", func(s *SpreadJudge) {
+			s.Placed(5, key, map[int]float64{1: 0, 2: 0, 3: 0})
+			s.Placed(5, 8, map[int]float64{1: 0, 2: 0, 3: 0})
+		}, 1},
+	} {
+		j := NewJudge(p, 0)
+		s := NewSpreadJudge(p, j)
+		s.Placed(0, key, map[int]float64{1: 0.5, 2: 0})
+		c.do(s)
+		s.Written(10)
+		if counts, _ := j.Verdict(); counts[RuleSpread] != c.want {
+			t.Errorf("%s: %v", c.name, counts)
+		}
+	}
+}
--- a/internal/spread/decide.go
+++ b/internal/spread/decide.go
@@ -299,11 +299,11 @@
 	return math.Max(d.cfg.Copies*float64(d.fleet.ready), leastCopies)
 }
 
-// copies counts those that do not cool.
+// copies counts all, also those that cool: they are in the placement, and where heat moves on there are many.
 func (d *Decider) copies() int {
 	n := 0
 	for _, k := range d.keys {
-		n += k.count(Warming) + k.count(Carrying)
+		n += len(k.copies)
 	}
 	return n
 }
--- a/internal/spread/widen.go
+++ b/internal/spread/widen.go
@@ -25,11 +25,10 @@
 			continue
 		}
 		for _, c := range k.copies { // what still is warm comes back for nothing
-			if c.stage == Cooling && !d.fleet.leaving[c.uid] && w.have < k.need && count < d.mostCopies() {
+			if c.stage == Cooling && !d.fleet.leaving[c.uid] && w.have < k.need {
 				c.stage = Carrying
 				w.have += d.fleet.bears(d.fleet.at[c.uid])
 				k.narrowAt = math.Max(k.narrowAt, now+d.cfg.Hold)
-				count++
 			}
 		}
 		wants = append(wants, w)
