--- a/internal/lab/spread.go
+++ b/internal/lab/spread.go
@@ -36,7 +36,7 @@
 	for _, d := range []struct {
 		at *float64
 		v  float64
-	}{{&s.StepMS, 250}, {&s.ReportMS, 1000}, {&s.Allowed.Cold, 0.03}, {&s.Allowed.Copies, 1}} {
+	}{{&s.StepMS, 150}, {&s.ReportMS, 1000}, {&s.Allowed.Cold, 0.03}, {&s.Allowed.Copies, 1}} {
 		if *d.at == 0 {
 			*d.at = d.v
 		}
--- a/internal/spread/driver.go
+++ b/internal/spread/driver.go
@@ -21,9 +21,9 @@
 const Duty = "spread"
 
 const (
-	decideEvery = 250 * time.Millisecond
-	viewEvery   = time.Second     // between two looks at the list and the placement
-	writeWait   = 2 * time.Second // for one write: an election takes about as long
+	decideEvery = 150 * time.Millisecond // a copy carries 0.2 s sooner than with 250 ms, at 3% of a core
+	viewEvery   = time.Second            // between two looks at the list and the placement
+	writeWait   = 2 * time.Second        // for one write: an election takes about as long
 	firstPause  = 250 * time.Millisecond
 	mostPause   = 4 * time.Second  // between writes that fail; entries hold for Config.Until
 	askedFor    = 30 * time.Second // for which a server is emptied without being asked for again
