--- a/cmd/milldeck/fleet.go
+++ b/cmd/milldeck/fleet.go
@@ -25,7 +25,7 @@
 		Args:  exactly(0),
 		RunE:  func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
-	c.AddCommand(newFleetStatus(), newFleetHalt(disruption.OpHalt), newFleetHalt(disruption.OpResume), newFleetDrain())
+	c.AddCommand(newFleetStatus(), newFleetHalt(disruption.OpHalt), newFleetHalt(disruption.OpResume), newFleetDrain(), newFleetBudgets())
 	return c
 }
 
