--- a/internal/registry/record.go
+++ b/internal/registry/record.go
@@ -15,6 +15,8 @@
 
 	"milldeck/internal/disruption"
 	"milldeck/internal/duty/table"
+	"milldeck/internal/placement"
+	"milldeck/internal/release"
 )
 
 // Target is an instance in the form in which PROTOCOL's discovery lists it.
@@ -112,6 +114,8 @@
 	OpSuspect    Op = "suspect"    // Refs, On: held back from expiry, or no longer
 	OpEpoch      Op = "epoch"      // Epoch: this list does not continue the one before
 	OpDuty       Op = "duty"       // Duty
+	OpPlacement  Op = "placement"  // Placement, under its owner's Guard or the leader's own
+	OpRelease    Op = "release"    // Release; a step of it under its owner's Guard
 	OpLedger     Op = "ledger"     // Ledger, under its owner's Guard
 	OpSidecars   Op = "sidecars"   // Sidecars are registered; Refs: what State says became of others
 	OpFollow     Op = "follow"     // Instances and Refs: set and removed unchecked, by an agent that follows a registry
@@ -136,8 +140,10 @@
 	Duty      *table.Op  `json:"duty,omitempty"`
 	Guard     *Guard     `json:"guard,omitempty"` // the write counts only under this duty's token
 
-	Ledger   *disruption.Op `json:"ledger,omitempty"`
-	Sidecars []Sidecar      `json:"sidecars,omitempty"`
+	Placement *placement.Op  `json:"placement,omitempty"`
+	Release   *release.Op    `json:"release,omitempty"`
+	Ledger    *disruption.Op `json:"ledger,omitempty"`
+	Sidecars  []Sidecar      `json:"sidecars,omitempty"`
 }
 
 // recordVersion is the first byte of a record; a newer one is refused, an older one read.
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -13,6 +13,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"milldeck/internal/duty/table"
+	"milldeck/internal/placement"
+	"milldeck/internal/release"
 )
 
 // Bounds of what the state keeps.
@@ -58,12 +60,15 @@
 	writes    map[string]Result
 	order     []string // of writes, oldest first
 	duties    *table.Table
+	places    *placement.Table
+	releases  *release.Table
 	ledger    *ledger // nil until the first record about it
 }
 
 // NewState is the empty state.
 func NewState() *State {
-	return &State{instances: map[string]*Instance{}, writes: map[string]Result{}, duties: table.New()}
+	return &State{instances: map[string]*Instance{}, writes: map[string]Result{}, duties: table.New(), places: placement.New(),
+		releases: release.NewTable()}
 }
 
 // Rev is the revision of the list.
@@ -119,6 +124,10 @@
 	switch r.Op {
 	case OpDuty:
 		return s.doDuty(index, r.Duty)
+	case OpPlacement:
+		return s.doPlacement(index, r)
+	case OpRelease:
+		return s.doRelease(index, r)
 	case OpLedger:
 		return s.doLedger(index, r)
 	case OpSidecars:
@@ -159,6 +168,7 @@
 	case OpEpoch:
 		s.epoch, s.history, s.forgotten = r.Epoch, nil, index
 		s.rev = index
+		s.places.Begin(index, r.Epoch)
 		return Result{Outcome: Done, Rev: index}
 	default:
 		// Of a later version: every replica of this one skips it alike.
@@ -328,13 +338,15 @@
 	Writes    map[string]Result `json:"writes"`
 	Order     []string          `json:"order"`
 	Duties    []*table.Duty     `json:"duties,omitempty"`
+	Placement *placement.Saved  `json:"placement,omitempty"`
+	Releases  *release.Saved    `json:"releases,omitempty"`
 	Ledger    *savedLedger      `json:"ledger,omitempty"`
 }
 
 // Snapshot writes the state. History is left out: watches that come back after a restore get the whole list.
 func (s *State) Snapshot(w io.Writer) error {
 	snap := snapshot{Rev: s.rev, Applied: s.applied, Epoch: s.epoch, Instances: []*Instance{}, Writes: s.writes, Order: s.order,
-		Duties: s.duties.Save()}
+		Duties: s.duties.Save(), Placement: s.places.Save(), Releases: s.releases.Save()}
 	snap.Ledger = s.ledger.save()
 	for _, uid := range slices.Sorted(maps.Keys(s.instances)) {
 		snap.Instances = append(snap.Instances, s.instances[uid])
@@ -389,6 +401,8 @@
 		return nil, fmt.Errorf("snapshot: an empty duty")
 	}
 	s.duties = table.Load(snap.Duties)
+	s.places = placement.Load(snap.Placement, snap.Epoch)
+	s.releases = release.Load(snap.Releases)
 	if s.ledger, err = loadLedger(snap.Ledger); err != nil {
 		return nil, err
 	}
