--- a/internal/spread/config.go
+++ b/internal/spread/config.go
@@ -18,7 +18,7 @@
 	MinRoom  float64 // 0 to Full: with less than this part free everywhere, spreading makes things worse
 	Trickle  float64 // 0 to 1: part of a key's load that sidecars send to a copy whose share is 0 ...
 	Trickles float64 // 0 to 1: ... and to all such copies of a key together, in equal parts, where that is less
-	Warmers  int     // copies of a key that are warmed at a time, or half of those that carry it where that is more
+	Warmers  int     // copies of a key that are warmed at a time, or as many as carry it where that is more
 	Warm     float64 // answers after which a copy carries a first part of its share
 	Ramp     float64 // answers after which it carries all of it, at least Warm
 	ColdWork float64 // ms: extra work of warming one copy
@@ -45,9 +45,9 @@
 		Half:    0.7,                              // an onset has to show within a second
 		Full:    0.8,                              // above it queues grow faster than they are worth
 		MinRoom: 0.1,                              // less than that, and chance alone fills a server
-		Trickle: 0.02, Trickles: 0.2, Warmers: 10, // a hot key has hundreds of requests a second: each warms within one
-		Warm: 3, Ramp: 12, // the first answer alone warms; the others show that the server is well
-		ColdWork: 3 * work,                   // as many cold answers as Warm, each about twice its work
+		Trickle: 0.02, Trickles: 0.2, Warmers: 15, // a hot key has hundreds of requests a second: each warms within one
+		Warm: 2, Ramp: 4, // the first answer alone warms; the others show that the server is well
+		ColdWork: 3 * work,                   // a few cold answers, as they come together, each about twice its work
 		Budget:   0.03, Least: 10 * 3 * work, // ten copies a second in the smallest fleet
 		MaxKeys:  32, // more are no few hot keys but a heavy tail
 		Copies:   1,
--- a/internal/spread/leave.go
+++ b/internal/spread/leave.go
@@ -6,6 +6,9 @@
 	"milldeck/internal/placement"
 )
 
+// enough of a sum is all of it but for rounding errors.
+const enough = 1 - 1e-9
+
 // Leave says that a server is to be drained, or otherwise emptied: no copy is begun on it, and what it carries of spread
 // keys is made warm elsewhere first. May tells when that is done. Asking again changes nothing.
 func (d *Decider) Leave(uid string) {
@@ -53,23 +56,33 @@
 // replaced: what carries the key without the servers that leave is as much as it was with them.
 func (d *Decider) replaced(k *spreadKey) bool {
 	carrying, _ := k.bears(&d.fleet, &d.cfg)
-	return k.ownBears(&d.fleet)+carrying >= k.keep*(1-1e-9)
+	return k.ownBears(&d.fleet)+carrying >= k.keep*enough
 }
 
-// leave cools copies on servers that leave once others carry in their place.
+// leave cools copies on servers that leave, one after the other, as others carry in their place.
 func (d *Decider) leave(k *spreadKey, now float64) {
 	if k.keep == 0 {
 		return
 	}
-	concerned, done := false, d.replaced(k)
+	carrying, _ := k.bears(&d.fleet, &d.cfg)
+	there := k.ownBears(&d.fleet) + carrying
+	var left []*copyOf // those that still carry on servers that leave
+	concerned := false
 	for _, c := range k.copies {
 		if d.fleet.leaving[c.uid] {
 			concerned = true
-			if done && c.stage == Carrying {
-				c.stage, c.giveUp = Cooling, now
+			if c.stage == Carrying {
+				left = append(left, c)
+				there += d.carries(c, now)
 			}
 		}
 	}
+	for _, c := range left {
+		if there -= d.carries(c, now); there < k.keep*enough {
+			break
+		}
+		c.stage, c.giveUp = Cooling, now
+	}
 	for uid := range d.fleet.leaving {
 		concerned = concerned || d.ownOf(k, uid)
 	}
@@ -78,6 +91,11 @@
 	}
 }
 
+// carries is what a copy bears by what it can carry already.
+func (d *Decider) carries(c *copyOf, now float64) float64 {
+	return d.fleet.bears(d.fleet.at[c.uid]) * c.ramp(&d.cfg, now)
+}
+
 // Row is a spread key as operators see it. Loads are in ms of work a second.
 type Row struct {
 	Key       string           `json:"key"`
