--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -14,6 +14,7 @@
 
 	"milldeck/internal/duty/table"
 	"milldeck/internal/placement"
+	"milldeck/internal/release"
 )
 
 // Bounds of what the state keeps.
@@ -60,11 +61,14 @@
 	order     []string // of writes, oldest first
 	duties    *table.Table
 	places    *placement.Table
+	releases  *release.Table
+	ledger    *ledger // nil until the first record about it
 }
 
 // NewState is the empty state.
 func NewState() *State {
-	return &State{instances: map[string]*Instance{}, writes: map[string]Result{}, duties: table.New(), places: placement.New()}
+	return &State{instances: map[string]*Instance{}, writes: map[string]Result{}, duties: table.New(), places: placement.New(),
+		releases: release.NewTable()}
 }
 
 // Rev is the revision of the list.
@@ -101,6 +105,7 @@
 		}
 	}
 	res := s.do(index, r)
+	s.feed(index, r, res)
 	if r.ID != "" && res.Outcome == Done {
 		s.writes[r.ID] = res
 		s.order = append(s.order, r.ID)
@@ -121,6 +126,12 @@
 		return s.doDuty(index, r.Duty)
 	case OpPlacement:
 		return s.doPlacement(index, r)
+	case OpRelease:
+		return s.doRelease(index, r)
+	case OpLedger:
+		return s.doLedger(index, r)
+	case OpSidecars:
+		return s.doSidecars(index, r)
 	case OpRegister:
 		return s.register(index, r)
 	case OpState, OpDeregister:
@@ -209,7 +220,7 @@
 		n.Suspect = false
 		old := s.instances[n.UID]
 		if old != nil && old.Target == n.Target {
-			old.TTLMS, old.Suspect = n.TTLMS, false
+			old.Version, old.TTLMS, old.Suspect = n.Version, n.TTLMS, false
 			continue // nothing that anybody would be told
 		}
 		n.Rev = index
@@ -328,12 +339,15 @@
 	Order     []string          `json:"order"`
 	Duties    []*table.Duty     `json:"duties,omitempty"`
 	Placement *placement.Saved  `json:"placement,omitempty"`
+	Releases  *release.Saved    `json:"releases,omitempty"`
+	Ledger    *savedLedger      `json:"ledger,omitempty"`
 }
 
 // Snapshot writes the state. History is left out: watches that come back after a restore get the whole list.
 func (s *State) Snapshot(w io.Writer) error {
 	snap := snapshot{Rev: s.rev, Applied: s.applied, Epoch: s.epoch, Instances: []*Instance{}, Writes: s.writes, Order: s.order,
-		Duties: s.duties.Save(), Placement: s.places.Save()}
+		Duties: s.duties.Save(), Placement: s.places.Save(), Releases: s.releases.Save()}
+	snap.Ledger = s.ledger.save()
 	for _, uid := range slices.Sorted(maps.Keys(s.instances)) {
 		snap.Instances = append(snap.Instances, s.instances[uid])
 	}
@@ -388,6 +402,10 @@
 	}
 	s.duties = table.Load(snap.Duties)
 	s.places = placement.Load(snap.Placement, snap.Epoch)
+	s.releases = release.Load(snap.Releases)
+	if s.ledger, err = loadLedger(snap.Ledger); err != nil {
+		return nil, err
+	}
 	if snap.Writes != nil {
 		s.writes, s.order = snap.Writes, snap.Order
 	}
