--- a/internal/window/control.go
+++ b/internal/window/control.go
@@ -165,7 +165,7 @@
 	switch {
 	case w.Ended() || w.Stage == Halted:
 		return s.now.MonoMS + restMS
-	case w.Stage == Overrun:
+	case w.Stage == Overrun || w.Stage == Waiting: // a grant is news, and has the program look at once
 		return s.now.MonoMS + TellEveryMS
 	case w.Stage == Approved && s.at.lo < w.FromMS:
 		return s.now.MonoMS + min(restMS, w.FromMS-s.at.lo)
--- /dev/null
+++ b/internal/window/ledger.go
@@ -0,0 +1,74 @@
+package window
+
+import (
+	"strings"
+
+	"milldeck/internal/disruption"
+	"milldeck/internal/window/contract"
+)
+
+// Duty is held by the one controller of all windows; it owns their permits and what sidecars are told of them.
+const Duty = "window"
+
+// Look reads what the controller needs out of the replicated state.
+func Look(rev uint64, t *Table, led *disruption.Table) *View {
+	v := &View{Rev: rev, Table: t, Permits: map[string]disruption.Stage{}, Up: map[string]bool{}, Fleet: Fleet{}}
+	for _, w := range t.Windows() {
+		p, is := led.Permit(w.PermitID())
+		if !is {
+			continue
+		}
+		v.Permits[p.ID] = p.Stage
+		if !w.Out() {
+			continue
+		}
+		for _, uid := range w.Servers {
+			u, known := led.Unit(serverID(uid))
+			// As the ledger itself counts it: what was found before the way back began is no evidence.
+			v.Up[uid] = known && u.Condition == disruption.Up &&
+				(u.Rev > p.OutAt || p.Stage != disruption.Returning || u.Seen > p.BackAt)
+		}
+	}
+	for _, u := range led.Units() {
+		_, name, _ := strings.Cut(u.ID, "/")
+		switch {
+		case u.Kind == disruption.Server:
+			v.Fleet[name] = u.Tenants
+		case u.Condition != disruption.Lost:
+			v.Sidecars = append(v.Sidecars, name)
+		}
+	}
+	return v
+}
+
+func serverID(uid string) string { return disruption.UnitID(disruption.Server, uid) }
+
+// Op is the act as an operation of the ledger, but for what was found: that is Found's.
+func (a *Act) Op() *disruption.Op {
+	p := &disruption.Permit{ID: a.ID}
+	if a.Kind == disruption.OpAsk {
+		p.Owner, p.Purpose, p.Rank, p.End = Duty, a.Purpose, a.Rank, disruption.ComesBack
+		for _, uid := range a.Servers {
+			p.Units = append(p.Units, serverID(uid))
+		}
+	}
+	return &disruption.Op{Kind: a.Kind, Permit: p, Owner: Duty}
+}
+
+// Found is the operation for what was found of the servers, each looked at as it was at the revision of led.
+func (a *Act) Found(led *disruption.Table, condition func(uid string) disruption.Condition) *disruption.Op {
+	op := &disruption.Op{Kind: disruption.OpSee, Owner: Duty}
+	for _, uid := range a.Servers {
+		if u, known := led.Unit(serverID(uid)); known {
+			op.Seen = append(op.Seen, disruption.Unit{ID: u.ID, Rev: u.Rev, Condition: condition(uid)})
+		}
+	}
+	return op
+}
+
+// BudgetOf is the ledger's budget that goes with a contract: it counts what is out for whatever reason, windows or not.
+func BudgetOf(c *contract.Contract) *disruption.Budget {
+	share := 1 - c.LeastShare
+	return &disruption.Budget{Name: "contract/" + c.Tenant, MaxOut: disruption.Limit{Share: &share},
+		Select: disruption.Selector{Kind: disruption.Server, Tenant: c.Tenant}}
+}
