--- a/internal/registry/http.go
+++ b/internal/registry/http.go
@@ -48,6 +48,8 @@
 	mux.HandleFunc("GET /releases", r.serveReleases)
 	mux.HandleFunc("GET /releases/{name}", r.serveRelease)
 	mux.HandleFunc("POST /releases/{name}", r.leaderOnly(r.serveReleaseOp))
+	mux.HandleFunc("GET /windows", r.serveWindows)
+	mux.HandleFunc("POST /windows", r.leaderOnly(r.serveWindowOp))
 	mux.HandleFunc("GET /duties", r.serveDuties)
 	mux.HandleFunc("GET /duties/{name}", r.serveDutyGet)
 	mux.HandleFunc("POST /duties/renew", r.leaderOnly(r.serveDutyRenew))
--- a/internal/registry/record.go
+++ b/internal/registry/record.go
@@ -17,6 +17,7 @@
 	"milldeck/internal/duty/table"
 	"milldeck/internal/placement"
 	"milldeck/internal/release"
+	"milldeck/internal/window"
 )
 
 // Target is an instance in the form in which PROTOCOL's discovery lists it.
@@ -116,6 +117,7 @@
 	OpDuty       Op = "duty"       // Duty
 	OpPlacement  Op = "placement"  // Placement, under its owner's Guard or the leader's own
 	OpRelease    Op = "release"    // Release; a step of it under its owner's Guard
+	OpWindow     Op = "window"     // Window, at Stamp; a step of the controller under the duty of windows
 	OpLedger     Op = "ledger"     // Ledger, under its owner's Guard
 	OpSidecars   Op = "sidecars"   // Sidecars are registered; Refs: what State says became of others
 	OpFollow     Op = "follow"     // Instances and Refs: set and removed unchecked, by an agent that follows a registry
@@ -142,6 +144,8 @@
 
 	Placement *placement.Op  `json:"placement,omitempty"`
 	Release   *release.Op    `json:"release,omitempty"`
+	Window    *window.Op     `json:"window,omitempty"`
+	Stamp     *window.Stamp  `json:"stamp,omitempty"`
 	Ledger    *disruption.Op `json:"ledger,omitempty"`
 	Sidecars  []Sidecar      `json:"sidecars,omitempty"`
 }
--- a/internal/window/apply.go
+++ b/internal/window/apply.go
@@ -38,7 +38,7 @@
 		return bad("work_ms", "%d is not within 1 to %d", o.WorkMS, maxWorkMS)
 	case len(o.Why) > maxWhy:
 		return bad("why", "%d bytes, at most %d", len(o.Why), maxWhy)
-	case o.Kind.byController() && o.Token == 0:
+	case o.Kind.Guarded() && o.Token == 0:
 		return bad("token", "none")
 	}
 	return nil
@@ -48,7 +48,7 @@
 // applied changes nothing but the note of doubt.
 func (t *Table) Apply(rev uint64, o *Op, stamp Stamp) Result {
 	t.set, t.drop = nil, nil
-	if o.Kind.byController() && (o.Token == 0 || o.Token < t.token) {
+	if o.Kind.Guarded() && (o.Token == 0 || o.Token < t.token) {
 		return Result{Outcome: Stale, Why: fmt.Sprintf("token %d counts no more, %d has written since", o.Token, t.token)}
 	}
 	at := t.clock(stamp)
@@ -62,7 +62,7 @@
 	if outcome != Applied {
 		return Result{Outcome: outcome, Why: why}
 	}
-	if o.Kind.byController() {
+	if o.Kind.Guarded() {
 		t.token = o.Token
 	}
 	if at.doubt == "" {
--- a/internal/window/table.go
+++ b/internal/window/table.go
@@ -61,9 +61,12 @@
 	return s
 }
 
-// Load puts a table back, as Save gave it.
+// Load puts a table back, as Save gave it; nil is an empty one.
 func Load(s *Saved) *Table {
 	t := New()
+	if s == nil {
+		return t
+	}
 	for _, c := range s.Contracts {
 		t.contracts[c.Tenant] = c
 	}
--- a/internal/window/table_test.go
+++ b/internal/window/table_test.go
@@ -65,7 +65,7 @@
 		}
 	}
 	for i := range list {
-		if list[i].Kind.byController() {
+		if list[i].Kind.Guarded() {
 			list[i].Token = 5
 		}
 	}
@@ -90,7 +90,7 @@
 		return fmt.Errorf("%s was applied at %d, before the logged %d", op.Kind, late, was.NowMS)
 	case is.NowMS < was.NowMS:
 		return fmt.Errorf("logged time ran back")
-	case op.Kind.byController() && op.Token < was.Token:
+	case op.Kind.Guarded() && op.Token < was.Token:
 		return fmt.Errorf("%s was applied under an old token", op.Kind)
 	case op.Kind == OpDrain || op.Kind == OpTell || op.Kind == OpFree:
 		for _, g := range t.Window(op.Name).Grants {
--- a/internal/window/types.go
+++ b/internal/window/types.go
@@ -205,8 +205,8 @@
 	Why     string  `json:"why,omitempty"`
 }
 
-// byController tells whether an operation needs the controller's token.
-func (k OpKind) byController() bool {
+// Guarded tells whether an operation needs the controller's token.
+func (k OpKind) Guarded() bool {
 	switch k {
 	case OpPlan, OpRefuse, OpWait, OpDrain, OpTell, OpFree, OpReturn, OpOverrun, OpBack:
 		return true
