--- a/internal/registry/window.go
+++ b/internal/registry/window.go
@@ -63,14 +63,14 @@
 	Rev      uint64                      `json:"rev"`
 	Table    *window.Saved               `json:"table"`
 	Permits  map[string]disruption.Stage `json:"permits"`
-	Up       map[string]bool             `json:"up"`
+	Out      map[string]window.Server    `json:"out"`
 	Fleet    window.Fleet                `json:"fleet"`
 	Sidecars []string                    `json:"sidecars"`
 }
 
 // View is what the controller's core reads.
 func (v *WindowsView) View() *window.View {
-	return &window.View{Rev: v.Rev, Table: window.Load(v.Table), Permits: v.Permits, Up: v.Up, Fleet: v.Fleet, Sidecars: v.Sidecars}
+	return &window.View{Rev: v.Rev, Table: window.Load(v.Table), Permits: v.Permits, Out: v.Out, Fleet: v.Fleet, Sidecars: v.Sidecars}
 }
 
 // serveWindows answers with all contracts and windows, and what goes with them.
@@ -81,7 +81,7 @@
 	var out WindowsView
 	r.hub.Read(func(s *State) {
 		v := window.Look(s.applied, s.windows, s.Ledger())
-		out = WindowsView{v.Rev, s.windows.Save(), v.Permits, v.Up, v.Fleet, v.Sidecars}
+		out = WindowsView{v.Rev, s.windows.Save(), v.Permits, v.Out, v.Fleet, v.Sidecars}
 	})
 	r.mark(w)
 	answer(w, http.StatusOK, out)
--- a/internal/window/control.go
+++ b/internal/window/control.go
@@ -35,11 +35,18 @@
 	Rev      uint64
 	Table    *Table
 	Permits  map[string]disruption.Stage // of the ledger, by id
-	Up       map[string]bool             // servers by uid for which the ledger has evidence that they are up, or back
+	Out      map[string]Server           // by uid, those of windows that are out
 	Fleet    Fleet
 	Sidecars []string // that live: all of them have to say that they keep off
 }
 
+// Server is what the ledger knows of a server that a window has out.
+type Server struct {
+	Up       bool   `json:"up"` // there is evidence that it is up, and where the way back has begun, back
+	Rev      uint64 `json:"rev"`
+	Endpoint string `json:"endpoint"`
+}
+
 // Act is what the controller asks of the ledger. All acts may be repeated: the ledger takes each once. To see is to look
 // at the servers and write what was found: what has not been looked at since the way back began is no evidence.
 type Act struct {
@@ -358,7 +365,7 @@
 func (s *look) returning(w *Window) Effect {
 	up := true
 	for _, uid := range w.Servers {
-		up = up && s.v.Up[uid]
+		up = up && s.v.Out[uid].Up
 	}
 	switch permit := s.permit(w); {
 	case permit == disruption.Asked || permit == disruption.Granted: // it never began
--- a/internal/window/hard_test.go
+++ b/internal/window/hard_test.go
@@ -206,10 +206,7 @@
 			w.after(3*minute, func() {
 				apply(disruption.Op{Kind: disruption.OpReturn, Owner: owner, Permit: &p})
 				w.register(uid, true)
-				a := Act{Servers: []string{uid}}
-				see := a.Found(w.led, func(string) disruption.Condition { return disruption.Up })
-				see.Owner = owner
-				apply(*see)
+				apply(disruption.Op{Kind: disruption.OpSee, Owner: owner, Seen: []disruption.Unit{{ID: serverID(uid), Condition: disruption.Up}}})
 				apply(disruption.Op{Kind: disruption.OpSettle, Owner: owner, Permit: &p})
 			})
 		}
--- a/internal/window/ledger.go
+++ b/internal/window/ledger.go
@@ -12,7 +12,7 @@
 
 // Look reads what the controller needs out of the replicated state.
 func Look(rev uint64, t *Table, led *disruption.Table) *View {
-	v := &View{Rev: rev, Table: t, Permits: map[string]disruption.Stage{}, Up: map[string]bool{}, Fleet: Fleet{}}
+	v := &View{Rev: rev, Table: t, Permits: map[string]disruption.Stage{}, Out: map[string]Server{}, Fleet: Fleet{}}
 	for _, w := range t.Windows() {
 		p, is := led.Permit(w.PermitID())
 		if !is {
@@ -25,8 +25,8 @@
 		for _, uid := range w.Servers {
 			u, known := led.Unit(serverID(uid))
 			// As the ledger itself counts it: what was found before the way back began is no evidence.
-			v.Up[uid] = known && u.Condition == disruption.Up &&
-				(u.Rev > p.OutAt || p.Stage != disruption.Returning || u.Seen > p.BackAt)
+			v.Out[uid] = Server{Rev: u.Rev, Endpoint: u.Endpoint, Up: known && u.Condition == disruption.Up &&
+				(u.Rev > p.OutAt || p.Stage != disruption.Returning || u.Seen > p.BackAt)}
 		}
 	}
 	for _, u := range led.Units() {
@@ -55,13 +55,12 @@
 	return &disruption.Op{Kind: a.Kind, Permit: p, Owner: Duty}
 }
 
-// Found is the operation for what was found of the servers, each looked at as it was at the revision of led.
-func (a *Act) Found(led *disruption.Table, condition func(uid string) disruption.Condition) *disruption.Op {
+// Found is the operation for what was found of the servers, looked at since the view was read.
+func (a *Act) Found(v *View, condition func(Server) disruption.Condition) *disruption.Op {
 	op := &disruption.Op{Kind: disruption.OpSee, Owner: Duty}
 	for _, uid := range a.Servers {
-		if u, known := led.Unit(serverID(uid)); known {
-			op.Seen = append(op.Seen, disruption.Unit{ID: u.ID, Rev: u.Rev, Condition: condition(uid)})
-		}
+		u := v.Out[uid]
+		op.Seen = append(op.Seen, disruption.Unit{ID: serverID(uid), Rev: u.Rev, Condition: condition(u)})
 	}
 	return op
 }
--- a/internal/window/world_test.go
+++ b/internal/window/world_test.go
@@ -258,7 +258,7 @@
 
 // register has the list say whether a server serves; each time that it does is another life.
 func (w *world) register(uid string, up bool) {
-	u := disruption.Unit{ID: serverID(uid), Kind: disruption.Server, Tenants: w.fleet[uid], Zone: "z", Pod: len(w.up) % 2, Condition: disruption.Unready}
+	u := disruption.Unit{ID: serverID(uid), Endpoint: uid, Kind: disruption.Server, Tenants: w.fleet[uid], Zone: "z", Pod: len(w.up) % 2, Condition: disruption.Unready}
 	if old, known := w.led.Unit(u.ID); known {
 		u.BootMS, u.Pod = old.BootMS, old.Pod
 	}
@@ -274,8 +274,8 @@
 	before, _ := w.led.Permit(a.ID)
 	op := a.Op()
 	if a.Kind == disruption.OpSee {
-		op = a.Found(w.led, func(uid string) disruption.Condition {
-			if w.up[uid] {
+		op = a.Found(Look(w.rev, w.table, w.led), func(u Server) disruption.Condition {
+			if w.up[u.Endpoint] {
 				return disruption.Up
 			}
 			return disruption.Unready
