--- a/cmd/milldeck/window.go
+++ b/cmd/milldeck/window.go
@@ -18,12 +18,24 @@
 	c := &cobra.Command{
 		Use:   "window",
 		Short: "Maintenance windows by contract",
-		Long: "window tells when servers may be freed for maintenance. docs/window.md tells what is promised.\n\n" +
+		Long: "window frees servers for maintenance in the hours that their tenants approve. docs/window.md tells what is promised.\n\n" +
 			exitHelp,
 		Args: exactly(0),
 		RunE: func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
-	c.AddCommand(newWindowPlan())
+	c.AddCommand(newWindowPlan(), newWindowRun(), newWindowPropose(), newWindowList(), newWindowShow(),
+		newWindowTell("halt", "Halts a window; one that is out comes back", func(name, why string) window.Op {
+			return window.Op{Kind: window.OpHalt, Scope: "window/" + name, Why: why}
+		}),
+		newWindowTell("resume", "Has a halted window planned again", func(name, _ string) window.Op {
+			return window.Op{Kind: window.OpResume, Scope: "window/" + name}
+		}),
+		newWindowTell("cancel", "Cancels a window; one that is out comes back", func(name, why string) window.Op {
+			return window.Op{Kind: window.OpCancel, Name: name, Why: why}
+		}),
+		newWindowTell("finish", "Says that the work of a free window is done", func(name, _ string) window.Op {
+			return window.Op{Kind: window.OpFinish, Name: name}
+		}))
 	return c
 }
 
@@ -55,7 +67,7 @@
 			if err != nil {
 				return usageError{fmt.Errorf("--at: %w", err)}
 			}
-			w, after, work, err := loadWish(args[0])
+			w, after, work, err := loadWish(args[0], true)
 			if err != nil {
 				return err
 			}
@@ -95,7 +107,8 @@
 	return t.UnixMilli(), nil
 }
 
-func loadWish(path string) (w *wish, after int64, work time.Duration, err error) {
+// loadWish reads a window; fleet: with all servers and their tenants.
+func loadWish(path string, fleet bool) (w *wish, after int64, work time.Duration, err error) {
 	w = &wish{}
 	f, err := conf.Load(path, w)
 	if err != nil {
@@ -114,7 +127,7 @@
 	}
 	slices.Sort(w.Servers)
 	for _, uid := range w.Servers {
-		if _, is := w.Fleet[uid]; !is {
+		if _, is := w.Fleet[uid]; fleet && !is {
 			return nil, 0, 0, f.Errorf("servers", "%s is not in fleet", uid)
 		}
 	}
@@ -143,11 +156,11 @@
 	c := &cobra.Command{
 		Use:   "contract",
 		Short: "What tenants have agreed to about maintenance",
-		Long:  "contract checks tenants' contracts. docs/window.md tells how they are written.\n\n" + exitHelp,
+		Long:  "contract checks and keeps tenants' contracts. docs/window.md tells how they are written.\n\n" + exitHelp,
 		Args:  exactly(0),
 		RunE:  func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
-	c.AddCommand(newContractCheck())
+	c.AddCommand(newContractCheck(), newContractSet(), newContractWithdraw(), newContractList(), newContractResume())
 	return c
 }
 
