--- a/internal/window/drive/drive.go
+++ b/internal/window/drive/drive.go
@@ -21,7 +21,7 @@
 
 const (
 	stepEvery  = 500 * time.Millisecond // between two looks while a window is out or about to be
-	restEvery  = 5 * time.Second        // and while none is: a halt or a contract is acted on after this long
+	restEvery  = 2 * time.Second        // and while none is: a halt or a contract is acted on after this long
 	callWait   = 3 * time.Second        // for one look or write; an election of the list service takes about two
 	probeWait  = time.Second            // for one server
 	firstPause = 500 * time.Millisecond
