--- a/internal/window/apply.go
+++ b/internal/window/apply.go
@@ -36,6 +36,10 @@
 		return bad("servers", "%d, wanted 1 to %d", len(o.Servers), MaxServers)
 	case o.Kind == OpPropose && (o.WorkMS <= 0 || o.WorkMS > maxWorkMS):
 		return bad("work_ms", "%d is not within 1 to %d", o.WorkMS, maxWorkMS)
+	case (o.Kind == OpHalt || o.Kind == OpResume) && o.Scope != "" && !strings.HasPrefix(o.Scope, "tenant/") && !strings.HasPrefix(o.Scope, "window/"):
+		return bad("scope", "%q is not empty, tenant/NAME or window/NAME", o.Scope)
+	case len(o.Scope) > maxName+len("tenant/"):
+		return bad("scope", "over %d characters", maxName+len("tenant/"))
 	case len(o.Why) > maxWhy:
 		return bad("why", "%d bytes, at most %d", len(o.Why), maxWhy)
 	case o.Kind.Guarded() && o.Token == 0:
