Release: a drain ends where its settled permit is in no view; controllers killed as processes

The list service shows permits that are not over. A drain whose permit was settled and whose unit had left waited for both. Found by a test of processes: replicas, the platform's stand-in with servers that register, controllers that are killed one after another, a drain beside a lost leader.

--- a/internal/release/unit.go
+++ b/internal/release/unit.go
@@ -289,11 +289,14 @@
 		u.Fails, u.Why = 0, ""
 		c.to(u, Rest)
 		return
-	case p.Stage == disruption.Out && !(c.s.Drain && !u.Back):
+	case known && p.Stage == disruption.Out && !(c.s.Drain && !u.Back):
 		c.ledger(disruption.OpReturn, u)
 	}
 	d, seen := c.v.Unit(u.ID)
 	switch {
+	case !seen && !known && c.s.Drain && !u.Back: // its permit is settled, and it is out of the list for good
+		c.to(u, Rest)
+		return
 	case !seen || d.Condition != disruption.Up && !(c.s.Drain && d.Condition == disruption.Lost):
 	case known:
 		c.ledger(disruption.OpSettle, u)
