--- a/internal/release/drive/drive.go
+++ b/internal/release/drive/drive.go
@@ -21,7 +21,8 @@
 )
 
 const (
-	stepEvery  = 500 * time.Millisecond // between two steps: a unit takes some ten of them
+	stepEvery  = 500 * time.Millisecond // between two steps while nothing comes of them
+	goOnAfter  = 50 * time.Millisecond  // a step that was written: a unit takes some ten of them
 	callWait   = 3 * time.Second        // for one look or write; an election of the list service takes about two
 	firstPause = 500 * time.Millisecond
 	mostPause  = 5 * time.Second
@@ -93,7 +94,8 @@
 		watch: release.NewWatch(d.Strata), empty: release.NewEmptiness(d.Longest.Milliseconds()), began: time.Now(), seen: map[string]time.Duration{}}
 	pause := time.Duration(0)
 	for {
-		switch err := t.step(ctx); {
+		wrote, err := t.step(ctx)
+		switch {
 		case ctx.Err() != nil:
 			return context.Cause(ctx)
 		case err != nil:
@@ -106,8 +108,11 @@
 			return nil
 		}
 		wait := stepEvery
-		if pause > 0 {
+		switch {
+		case pause > 0:
 			wait = pause/2 + rand.N(pause/2)
+		case wrote:
+			wait = goOnAfter
 		}
 		select {
 		case <-ctx.Done():
@@ -117,14 +122,15 @@
 	}
 }
 
-// step looks, decides, does and writes. What fails of the doing is found undone by the next step.
-func (t *tenure) step(ctx context.Context) error {
+// step looks, decides, does and writes, and tells whether there was something to write. What fails of the doing is found
+// undone by the next step.
+func (t *tenure) step(ctx context.Context) (wrote bool, err error) {
 	if err := t.load(ctx); err != nil {
-		return err
+		return false, err
 	}
 	v, err := t.look(ctx)
 	if err != nil {
-		return err
+		return false, err
 	}
 	effects := t.state.Step(v)
 	var calls []supervisor.Request
@@ -136,7 +142,7 @@
 	t.call(ctx, calls)
 	for _, e := range effects {
 		if ctx.Err() != nil {
-			return ctx.Err()
+			return wrote, ctx.Err()
 		}
 		switch e := e.(type) {
 		case release.Ledger:
@@ -149,12 +155,13 @@
 			t.setState(ctx, e.Unit, registry.Ready)
 		case release.Write:
 			if err := t.write(ctx, e.Delta); err != nil {
-				return err
+				return false, err
 			}
+			wrote = true
 		}
 	}
 	t.place(ctx)
-	return nil
+	return wrote, nil
 }
 
 func limited(ctx context.Context) (context.Context, context.CancelFunc) {
