--- a/balance/index.go
+++ b/balance/index.go
@@ -168,6 +168,80 @@
 	}
 }
 
+// trend is a server's weight without that factor as it changes by itself, until the time that it returns.
+func (b *Balancer) trend(s *server) (trend, float64) {
+	warm, rise, until := b.warmth(s), 0.0, math.Inf(1)
+	if b.now < s.coldSince {
+		until = s.coldSince
+	} else if b.cold(s) {
+		rise, until = (1-b.cfg.ColdFrom)/b.cfg.ColdTime, s.coldSince+b.cfg.ColdTime
+	}
+	well, hurt := b.health(s), 0.0
+	if well <= floorM {
+		until = math.Min(until, s.lastErr+halfLife*math.Log2(float64(s.errs)*slope/(1-floorM)))
+	} else {
+		well, hurt = 1, 1-well
+	}
+	size := 100 * s.Rating * math.Exp(s.size)
+	t := trend{level: size * warm * well, slope: size * rise * well, at: b.now}
+	t.dent, t.dentSlope = -size*warm*hurt, -size*rise*hurt
+	return t, until
+}
+
+// weightNow is the weight of a server of the rotation, its zone's favour included, from what settle keeps.
+func (b *Balancer) weightNow(s *server) float64 {
+	if s.part.steady() {
+		return max(s.part.level*s.group.factor, 1e-6)
+	}
+	s.part.moveTo(b.now)
+	return max((s.part.level+s.part.dent)*s.group.factor, 1e-6)
+}
+
+// survey does for the whole rotation what enter does for a pick that lists its servers.
+func (b *Balancer) survey(total float64) {
+	b.carried, b.shares = 1, 0
+	for _, s := range b.reporters() {
+		if s.in && !s.off {
+			b.carried += b.holds(s)
+			b.shares += b.weightNow(s)
+		}
+	}
+	if b.told = b.shares > 0; !b.told {
+		b.carried, b.shares = 1+float64(b.rot.inFlight-b.hidden.inFlight), total
+	}
+}
+
+// creditTurns gives all servers in question their turns. A sidecar that keeps to few servers of each key does
+// not compare them by running: there it has to be up to date for a repeat only.
+func (b *Balancer) creditTurns(keyed, repeat bool) {
+	switch {
+	case b.allRest || !b.cfg.WarmKeys: // what is out of these gets no turns
+		for _, s := range b.entered {
+			if !repeat {
+				s.turn = b.turn - 1
+				b.credit(s)
+			}
+		}
+	case !keyed:
+		for _, s := range b.entered {
+			b.credit(s)
+		}
+	case !b.narrow():
+		for _, s := range b.servers {
+			if s.in && !s.off {
+				s.weight = b.weightNow(s)
+				b.credit(s)
+			}
+		}
+	}
+}
+
+// credit gives a server its turns since it was last credited, or came back, at the weight of now.
+func (b *Balancer) credit(s *server) {
+	s.running = math.Min(s.running+s.weight*(b.turn-s.turn), b.pool)
+	s.turn = b.turn
+}
+
 // reporters lists the servers of the rotation whose report is fresh. Few are: a report is soon old.
 func (b *Balancer) reporters() []*server {
 	kept := b.rot.fresh[:0]
@@ -236,10 +310,7 @@
 	return keyOrders{byKey: map[uint64]*list.Element{}, recent: list.New()}
 }
 
-// keyPlace is weighted rendezvous hashing on the key: the same at all sidecars.
-func keyPlace(key uint64, s *server) float64 {
-	return -math.Log(float64(mix(mix(key)^uint64(s.ID))>>11+1)/(1<<53)) / s.Rating
-}
+func keyPlace(key uint64, s *server) float64 { return KeyPlace(key, s.ID, s.Rating) }
 
 // listChanged notes that a server came, went or is rated otherwise.
 func (o *keyOrders) listChanged(s *server) {
@@ -379,8 +450,10 @@
 			b.extend(order, 2*next)
 		}
 		s := order.servers[next]
-		if s.in {
-			s.weight, s.known = b.weightNow(s), !b.told || b.fresh(s)
+		if s.off {
+			continue
+		} else if s.in {
+			b.look(s)
 		} else if !b.allRest || s.State != Ready {
 			continue
 		}
@@ -389,6 +462,9 @@
 	return next
 }
 
+// look takes a server of the rotation into the current pick by key.
+func (b *Balancer) look(s *server) { s.weight, s.known = b.weightNow(s), !b.told || b.fresh(s) }
+
 // keySpan is the requests over which a key's share is taken: seconds for a small sidecar.
 const keySpan = 256
 
