--- a/cmd/milldeck/release.go
+++ b/cmd/milldeck/release.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -13,6 +14,7 @@
 	"github.com/spf13/cobra"
 
 	"milldeck/internal/disruption"
+	"milldeck/internal/registry"
 	"milldeck/internal/release"
 	"milldeck/internal/release/plan"
 )
@@ -38,14 +40,15 @@
 
 func newReleaseCheck() *cobra.Command {
 	var view string
-	var asJSON bool
+	var dryRun bool
+	a := &asking{}
 	c := &cobra.Command{
 		Use:   "check PLAN",
 		Short: "Checks a plan, and plays it dry against a view of the fleet",
-		Long: "check reads a plan and says what is wrong with it, by file, line and key. With --view it draws the waves for that\n" +
-			"fleet, says what capacity stays and what is warmed anew, and refuses what its budgets can never allow. A view is\n" +
-			"the ledger as the list service shows it, with all its units.\n\n" + exitHelp,
-		Example: "  milldeck release check plan.toml\n  milldeck release check plan.toml --view ledger.json --json",
+		Long: "check reads a plan and says what is wrong with it, by file, line and key. With --dry-run it asks the list service for\n" +
+			"the fleet, with --view it reads it from a file (the ledger as the list service shows it, with all its units): it\n" +
+			"draws the waves, says what capacity stays and what is warmed anew, and refuses what budgets can never allow.\n\n" + exitHelp,
+		Example: "  milldeck release check plan.toml --dry-run\n  milldeck release check plan.toml --view ledger.json --json",
 		Args:    exactly(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			p, err := plan.Load(args[0])
@@ -53,21 +56,23 @@
 				return err
 			}
 			out := c.OutOrStdout()
-			if view == "" {
+			if view == "" && !dryRun {
 				_, err = fmt.Fprintf(out, "%s: release %s, plan %s, %d waves\n", args[0], p.Name, p.Hash(), len(p.Waves))
 				return err
 			}
-			v, err := readView(view)
-			if err != nil {
-				return usageError{fmt.Errorf("--view: %w", err)}
+			v := &disruption.View{}
+			if view != "" {
+				if v, err = readView(view); err != nil {
+					return usageError{fmt.Errorf("--view: %w", err)}
+				}
+			} else if err = a.with(c, func(ctx context.Context, client *registry.Client) error {
+				*v, err = client.LedgerView(ctx, true, true)
+				return err
+			}); err != nil {
+				return err
 			}
 			dry := plan.Check(p, v.Units, v.Budgets)
-			if asJSON {
-				err = json.NewEncoder(out).Encode(dry)
-			} else {
-				err = writeDry(out, dry)
-			}
-			if err != nil {
+			if err := a.show(out, dry, func(w io.Writer) error { return writeDry(w, dry) }); err != nil {
 				return err
 			}
 			if n := len(dry.Refused); n > 0 {
@@ -76,8 +81,9 @@
 			return nil
 		},
 	}
-	c.Flags().StringVar(&view, "view", "", "file with the ledger's view (JSON), for a dry run")
-	c.Flags().BoolVar(&asJSON, "json", false, "print the dry run as JSON")
+	c.Flags().BoolVar(&dryRun, "dry-run", false, "play the plan dry against the fleet as it is")
+	c.Flags().StringVar(&view, "view", "", "file with the ledger's view (JSON), for a dry run without the list service")
+	a.flags(c)
 	return c
 }
 
--- a/internal/release/drive/process_test.go
+++ b/internal/release/drive/process_test.go
@@ -256,6 +256,7 @@
 		}
 		return v.Seq
 	}
+	s.ended(s.command(80, "release", "check", plan, "--dry-run"))
 	n := 1
 	p := s.command(n, "release", "start", plan)
 	s.until("the release begins", func() bool { return seq() > 3 })
