Agent: registers its sidecar, so that the ledger counts it

The ledger counts sidecars that are registered with a lease of their own, and nobody registered any but tests: releases of sidecars had no evidence to go on. An agent whose configuration names its sidecar looks at its readiness three times a second, takes version and revisions in force from its reports, and tells the registry what changes at once and all else thrice a lease. One that is ready again counts as another life. The agent's own end leaves the lease to run out.

go test -race ./internal/agent -run 'Home|Registers' -count=5: green.

--- a/cmd/milldeck/registry.go
+++ b/cmd/milldeck/registry.go
@@ -519,6 +519,28 @@
 
 	SavedPlacement string   `toml:"saved_placement"`
 	Reports        []string `toml:"reports"`
+
+	Sidecar *homeFile `toml:"sidecar"` // absent: none is registered
+}
+
+// homeFile is the sidecar that an agent registers.
+type homeFile struct {
+	Name    string `toml:"name"`
+	Address string `toml:"address"`
+	Zone    string `toml:"zone"`
+	Tenant  string `toml:"tenant"`
+	Version string `toml:"version"`
+	LeaseMS int64  `toml:"lease_ms"`
+}
+
+func (f *homeFile) home() *agent.Home {
+	if f == nil {
+		return nil
+	}
+	return &agent.Home{
+		Name: f.Name, Address: f.Address, Zone: f.Zone, Tenant: f.Tenant, Version: f.Version,
+		Lease: time.Duration(f.LeaseMS) * time.Millisecond,
+	}
 }
 
 func newAgent() *cobra.Command {
@@ -548,8 +570,14 @@
 			if f.Fleet < 0 || f.Share < 0 || f.Share > 1 {
 				return at.Errorf("share", "fleet %d or share %v cannot be", f.Fleet, f.Share)
 			}
+			home := f.Sidecar.home()
+			if home != nil {
+				if err := home.Check(); err != nil {
+					return at.Errorf("sidecar", "%v", err)
+				}
+			}
 			a, err := agent.Start(agent.Options{Listen: f.Listen, Replicas: f.Replicas, Saved: f.Saved, Fleet: f.Fleet, Share: f.Share,
-				SavedPlacement: f.SavedPlacement, Reports: append(f.Reports, reports...)})
+				SavedPlacement: f.SavedPlacement, Reports: append(f.Reports, reports...), Home: home})
 			if err != nil {
 				return err
 			}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -45,6 +45,7 @@
 	SavedPlacement string
 	// Reports are addresses that sidecars' reports are passed on to, each to all of them; loopback only.
 	Reports []string
+	Home    *Home // the sidecar to be registered; nil: none is
 }
 
 // Agent follows the registry and serves one machine's sidecar.
@@ -83,6 +84,11 @@
 	if err := registry.Loopback("listen", opts.Listen); err != nil {
 		return nil, err
 	}
+	if opts.Home != nil {
+		if err := opts.Home.Check(); err != nil {
+			return nil, fmt.Errorf("sidecar.%w", err)
+		}
+	}
 	reports, err := newReports(opts.Reports)
 	if err != nil {
 		return nil, err
@@ -143,6 +149,9 @@
 	for _, to := range opts.Reports {
 		a.around.Go(func() { a.reports.pass(a.ctx, to) })
 	}
+	if opts.Home != nil {
+		a.around.Go(func() { a.register(*opts.Home) })
+	}
 	return a, nil
 }
 
--- a/internal/agent/reports.go
+++ b/internal/agent/reports.go
@@ -46,6 +46,23 @@
 	seq  uint64
 	at   time.Time
 	data []byte
+	heard
+}
+
+// heard is what the agent itself reads of a report: the label, and the revisions of list and placement in force.
+type heard struct {
+	version   string
+	list, rev uint64
+}
+
+// latest is what the newest report of a sidecar said, nil where it is old or there is none.
+func (p *reports) latest(name string, now time.Time) *heard {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r, is := p.of[name]; is && now.Sub(r.at) <= reportFresh {
+		return &r.heard
+	}
+	return nil
 }
 
 func newReports(to []string) (*reports, error) {
@@ -84,7 +101,7 @@
 		http.Error(w, fmt.Sprintf("report: %v", err), http.StatusBadRequest)
 		return
 	}
-	if !p.put(in.Name, data, time.Now()) {
+	if !p.put(in.Name, data, heard{in.Version, in.List, in.Rev}, time.Now()) {
 		http.Error(w, fmt.Sprintf("report: %d sidecars report here already", mostReporters), http.StatusServiceUnavailable)
 		return
 	}
@@ -92,7 +109,7 @@
 }
 
 // put keeps a report as the newest of its sidecar; false where there are too many sidecars.
-func (p *reports) put(name string, data []byte, now time.Time) bool {
+func (p *reports) put(name string, data []byte, said heard, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for other, old := range p.of {
@@ -104,7 +121,7 @@
 		return false
 	}
 	p.seq++
-	p.of[name] = report{p.seq, now, data}
+	p.of[name] = report{p.seq, now, data, said}
 	close(p.news)
 	p.news = make(chan struct{})
 	return true
