--- a/internal/release/drive/drive.go
+++ b/internal/release/drive/drive.go
@@ -84,6 +84,8 @@
 	cohort  []string
 	before  *supervisor.List // of the last interval
 	seen    map[string]time.Duration
+
+	ledgerRev uint64 // the newest that is known: an older view is none
 }
 
 // Work carries the release out until it is over and nothing was told it since, or ctx ends.
@@ -180,6 +182,9 @@
 		return fmt.Errorf("release %s: there is none", t.Name)
 	}
 	t.told = v.Told
+	if t.state != nil && v.Run == t.state.Run && v.Seq < t.state.Seq {
+		return fmt.Errorf("release %s: a replica is behind, at step %d of %d", t.Name, v.Seq, t.state.Seq)
+	}
 	if t.state != nil && (v.Seq != t.state.Seq || v.Run != t.state.Run) {
 		t.state = nil // written by another: its token counts, not this one's, or the log has another history
 		return fmt.Errorf("release %s: it was written by another", t.Name)
@@ -242,10 +247,11 @@
 func (t *tenure) ledger(ctx context.Context, op disruption.Op) {
 	ctx, stop := limited(ctx)
 	defer stop()
-	_, err := t.Store.Ledger(ctx, registry.Write{Guard: t.guard}, op)
+	res, err := t.Store.Ledger(ctx, registry.Write{Guard: t.guard}, op)
 	var status *registry.StatusError
 	switch {
 	case err == nil:
+		t.ledgerRev = max(t.ledgerRev, res.Rev)
 		delete(t.denied, op.Permit.ID)
 	case op.Kind == disruption.OpAsk && errors.As(err, &status) && (status.Status == http.StatusConflict || status.Status == http.StatusNotFound):
 		t.denied[op.Permit.ID] = status.Text
--- a/internal/release/drive/look.go
+++ b/internal/release/drive/look.go
@@ -30,6 +30,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("release %s: the ledger: %w", t.Name, err)
 	}
+	if ledger.Rev < t.ledgerRev { // a replica that has fallen behind: what it lacks is no news
+		return nil, fmt.Errorf("release %s: the ledger at revision %d, after %d", t.Name, ledger.Rev, t.ledgerRev)
+	}
+	t.ledgerRev = ledger.Rev
 	list, err := t.Store.List(ctx, true)
 	if err != nil {
 		return nil, fmt.Errorf("release %s: the list: %w", t.Name, err)
