--- a/internal/window/control_steps.go
+++ b/internal/window/control_steps.go
@@ -88,12 +88,13 @@
 }
 
 func (s *look) waiting(w *Window) Effect {
-	if why, is := s.c.never[w.Name]; is {
-		delete(s.c.never, w.Name)
-		return operation(Op{Kind: OpRefuse, Why: why[:min(len(why), maxWhy)]})
-	}
 	outcome, _ := s.t.mayDrain(w, s.at)
-	switch stage, known := s.v.Permits[w.PermitID()]; {
+	stage, known := s.v.Permits[w.PermitID()]
+	never, refused := s.c.never[w.Name]
+	delete(s.c.never, w.Name)
+	switch {
+	case refused && !known: // where it is known after all, an earlier try got there
+		return operation(Op{Kind: OpRefuse, Why: never[:min(len(never), maxWhy)]})
 	case outcome != Applied || !s.granted(w):
 		return s.plan(w)
 	case !known:
--- a/internal/window/ledger.go
+++ b/internal/window/ledger.go
@@ -15,10 +15,9 @@
 	v := &View{Rev: rev, Table: t, Permits: map[string]disruption.Stage{}, Out: map[string]Server{}, Fleet: Fleet{}}
 	for _, w := range t.Windows() {
 		p, is := led.Permit(w.PermitID())
-		if !is {
-			continue
+		if is {
+			v.Permits[p.ID] = p.Stage
 		}
-		v.Permits[p.ID] = p.Stage
 		if !w.Out() {
 			continue
 		}
--- a/internal/window/world_test.go
+++ b/internal/window/world_test.go
@@ -42,6 +42,7 @@
 	noGuard    bool                   // a planted bug: tokens are not looked at
 	onWrite    func(e *Effect)        // sees each write that reaches the log
 	writes     int
+	why        string   // the ledger refused last
 	log        []string // applied steps and acts, but for prolongations
 }
 
@@ -201,10 +202,10 @@
 	}
 	w.writes++
 	outcome := w.write(e, stamp, c.token)
-	rev := w.rev
+	rev, why := w.rev, w.why
 	w.after(2+w.rng.Int64N(60), func() {
 		if !c.dead {
-			c.core.Answered(Now{w.now, w.now + c.clock.off, c.clock.unc}, e, outcome, "", rev)
+			c.core.Answered(Now{w.now, w.now + c.clock.off, c.clock.unc}, e, outcome, why, rev)
 			w.wake(c, 1)
 		}
 	})
@@ -281,7 +282,9 @@
 			return disruption.Unready
 		})
 	}
-	switch out, _ := w.led.Apply(w.rev, op); {
+	out, why := w.led.Apply(w.rev, op)
+	w.why = why
+	switch {
 	case out != disruption.Done && a.Kind == disruption.OpAsk:
 		return Bad
 	case out != disruption.Done:
