--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -52,7 +52,7 @@
 
 	seed    uint64
 	rules   *RulesFile
-	stores  *Stores
+	stores  Effects
 	classes []ClassPlan
 
 	started float64 // of its warm-up
@@ -96,7 +96,7 @@
 }
 
 // NewServer makes the model of a server that is up and warm.
-func NewServer(p *Plan, n int, stores *Stores) *Server {
+func NewServer(p *Plan, n int, stores Effects) *Server {
 	s := &Server{
 		Plan: &p.Servers[n], seed: hash(p.Seed, streamServers, uint64(n)), rules: &p.File.Rules, stores: stores,
 		classes: p.Classes,
@@ -225,7 +225,7 @@
 	case j.Attempt == 0:
 	case fails < s.Errors:
 		e.how, work = Errored, errorWork
-	case s.classes[j.Class].Effect == balance.Keyed && s.stores.seen(now, s.Plan, &s.classes[j.Class], j.Class, j.Effect):
+	case s.classes[j.Class].Effect == balance.Keyed && s.stores.Seen(now, s.Plan, &s.classes[j.Class], j.Class, j.Effect):
 		work = errorWork // the answer to a repeat is at hand
 	default:
 		if fails < s.Errors+s.Plan.Kind.ErrorRate {
@@ -374,6 +374,12 @@
 	return top
 }
 
+// Effects is what a server asks for the effects that its group has had; Stores is it where all servers are in one
+// process.
+type Effects interface {
+	Seen(now float64, s *ServerPlan, class *ClassPlan, number int, effect uint64) bool
+}
+
 // Stores is what groups of servers remember of the effects that they had, each for the window of its class.
 // Servers use them concurrently.
 type Stores struct {
@@ -393,8 +399,9 @@
 // NewStores makes empty ones.
 func NewStores() *Stores { return &Stores{of: map[storeKey]*store{}} }
 
-// seen tells whether the group of a server has had an effect within the window, and remembers it.
-func (m *Stores) seen(now float64, s *ServerPlan, class *ClassPlan, number int, effect uint64) bool {
+// Seen tells whether the group of a server has had an effect within the window, and remembers it. The number is the
+// class's.
+func (m *Stores) Seen(now float64, s *ServerPlan, class *ClassPlan, number int, effect uint64) bool {
 	key := storeKey{class: number}
 	switch class.ClassFile.Group {
 	case "zone":
