Lab: a model server as a program, with versions that harm

A platform starts and stops processes, so servers have to be some. milldeck lab server runs one model server: it answers sidecars and the ready check, drains at SIGTERM, tells the lab that its file names what it does, and does wrong what its version's file says.

--- a/cmd/milldeck/lab.go
+++ b/cmd/milldeck/lab.go
@@ -31,7 +31,7 @@
 		Args: exactly(0),
 		RunE: func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
-	c.AddCommand(newLabSim(), newLabRun(), newLabCompare(), newLabSweep(), newLabDiff(), newLabFaults())
+	c.AddCommand(newLabSim(), newLabRun(), newLabCompare(), newLabSweep(), newLabDiff(), newLabFaults(), newLabServer())
 	return c
 }
 
--- a/internal/lab/file.go
+++ b/internal/lab/file.go
@@ -318,6 +318,31 @@
 	return nil
 }
 
+// CheckServer is the part of an experiment's check that is about servers, for one kind in a file of its own, under the
+// key "kind", with its classes.
+func (f *File) CheckServer(c *conf.File) error {
+	var first error
+	bad := func(key, format string, args ...any) {
+		if first == nil {
+			first = c.Errorf(strings.Replace(key, "server[0]", "kind", 1), format, args...)
+		}
+	}
+	inside := func(key string, v, least, most float64) {
+		if !(v >= least && v <= most) {
+			bad(key, "%v is not within %v to %v", v, least, most)
+		}
+	}
+	f.checkServers(bad, inside, func(key string, r Range, least, most float64) {
+		inside(key, r.Least, least, most)
+		inside(key, r.Most, least, most)
+	})
+	f.checkClasses(bad, inside, func(key string, r Range, least, most float64) {
+		inside(key, r.Least, least, most)
+		inside(key, r.Most, least, most)
+	})
+	return first
+}
+
 type badFunc func(key, format string, args ...any)
 
 func (f *File) checkZones(bad badFunc) {
--- a/internal/lab/live/front.go
+++ b/internal/lab/live/front.go
@@ -23,7 +23,6 @@
 
 	connectionClosed = "given up" // its sidecar closed the connection
 	notRun           = "X-Not-Processed: 1\r\n"
-	readyPath        = "/health/ready"
 )
 
 // host is what a server's front stands in: the lab's own process, or a program of its own.
@@ -31,8 +30,8 @@
 	running() context.Context // ends with the run
 	now() float64             // ms, of the model
 	link(sidecar int) link
-	// call tells of an attempt whose first and last byte came at these times, and whether a client sent its request.
-	call(id uint64, sidecar int, first, last time.Time) (call, bool)
+	// call tells of an attempt, and whether a client sent its request. A sidecar of -1 is not known.
+	call(id uint64, sidecar int, x exchange) (call, bool)
 	count(add func(*lab.Counts))
 	lateness(ms float64)
 	ran(end lab.Ended)
@@ -59,8 +58,8 @@
 	n      int
 	plan   *lab.ServerPlan
 	probes bool
-	health func() int          // status of the ready check; nil: there is none
-	harm   func(*lab.Job) bool // what a harmful version does to a request, and whether it fails; nil: nothing
+	own    func(path string) (status int, body string, mine bool) // what is asked of its process; nil: nothing
+	harm   func(*lab.Job)                                         // what a harmful version does to a request; nil: nothing
 
 	mu    sync.Mutex
 	model *lab.Server
@@ -171,8 +170,10 @@
 		_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), head, len(body), body)
 		return err == nil
 	}
-	if s.health != nil && x.req.URL.Path == readyPath {
-		return write(s.health(), "", "") // the platform asks, who stands beside the server
+	if s.own != nil {
+		if status, body, mine := s.own(x.req.URL.Path); mine {
+			return write(status, "", body) // who asks stands beside it
+		}
 	}
 	id, err := strconv.ParseUint(x.req.Header.Get("X-Request-ID"), 16, 64)
 	if x.req.URL.Path != "/api" || err != nil {
@@ -187,7 +188,7 @@
 		s.offer(lab.Job{Work: probeWork})
 		return comes(ctx, l.returns) && write(http.StatusOK, "", "")
 	}
-	k, mine := s.host.call(id, sidecar, x.first, x.last)
+	k, mine := s.host.call(id, sidecar, x)
 	say := func(status int, head, body string) bool {
 		return comes(ctx, k.returns) && write(status, head, body)
 	}
@@ -219,7 +220,9 @@
 	if wait, err := strconv.ParseFloat(x.req.Header.Get("X-Timeout-Ms"), 64); err == nil {
 		job.Expires = s.host.now() - float64(time.Since(x.last))/1e6 + wait
 	}
-	fails := s.harm != nil && s.harm(&job)
+	if s.harm != nil {
+		s.harm(&job)
+	}
 	result, taken := s.offer(job)
 	if !taken {
 		return say(http.StatusServiceUnavailable, notRun, "") && done("full")
@@ -240,7 +243,7 @@
 		return false
 	case end.How == lab.Expired:
 		return say(http.StatusGatewayTimeout, notRun, "") && done("expired")
-	case end.How == lab.Errored || fails:
+	case end.How == lab.Errored:
 		return say(http.StatusInternalServerError, "", "") && done("error")
 	case rand.Float64() < resets:
 		over("reset")
--- a/internal/lab/live/server.go
+++ b/internal/lab/live/server.go
@@ -98,8 +98,8 @@
 
 func (s *server) link(sidecar int) link { return &fleetLink{f: s.f, server: s.n, sidecar: sidecar} }
 
-func (s *server) call(id uint64, sidecar int, first, last time.Time) (call, bool) {
-	return s.f.sent(s.n, id, sidecar, first, last)
+func (s *server) call(id uint64, sidecar int, x exchange) (call, bool) {
+	return s.f.sent(s.n, id, sidecar, x.first, x.last)
 }
 
 // fleetLink is the way between a sidecar and a server.
--- a/internal/lab/plan.go
+++ b/internal/lab/plan.go
@@ -80,12 +80,7 @@
 	p := &Plan{File: f, Seed: seed, Duration: 1000 * f.DurationS}
 	p.drawServers()
 	p.drawSidecars()
-	sum := 0.0
-	for i := range f.Classes {
-		k := &f.Classes[i]
-		sum += k.Share
-		p.Classes = append(p.Classes, ClassPlan{ClassFile: k, Effect: effects[k.Effect], Group: groups[k.Group], share: sum})
-	}
+	p.Classes = ClassPlans(f.Classes)
 	rng := p.rng(streamFaults)
 	for i := range f.Faults {
 		fault := f.Faults[i].resolve(p, rng)
@@ -103,6 +98,18 @@
 	return p
 }
 
+// ClassPlans are classes as they are played.
+func ClassPlans(files []ClassFile) []ClassPlan {
+	var out []ClassPlan
+	sum := 0.0
+	for i := range files {
+		k := &files[i]
+		sum += k.Share
+		out = append(out, ClassPlan{ClassFile: k, Effect: effects[k.Effect], Group: groups[k.Group], share: sum})
+	}
+	return out
+}
+
 func btoi(b bool) int {
 	if b {
 		return 1
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -17,6 +17,8 @@
 	Work     float64 // ms on a standard core
 	Expires  float64 // waiting work is dropped then; 0: never
 	Informed bool    // its sender had been told of this server's start
+	Tenant   string  // whose it is; "": nobody's
+	Fails    bool    // at once, as a harmful version has it
 }
 
 // Ending is how a job ended at its server.
@@ -35,6 +37,8 @@
 	How    Ending
 	Effect bool // it had its effect, and was no repeat
 	At     float64
+	Took   float64 // ms on a standard core
+	Met    bool    // its key was warm here, or it has none
 }
 
 const (
@@ -82,6 +86,8 @@
 	job    Job
 	how    Ending
 	effect bool
+	took   float64
+	met    bool
 }
 
 type warmKey struct {
@@ -218,12 +224,12 @@
 
 // run gives a job a core.
 func (s *Server) run(now float64, j Job) {
-	e := ending{job: j}
+	e := ending{job: j, met: true}
 	work := j.Work
 	fails := chance(s.seed, j.Request, uint64(j.Attempt))
 	switch {
 	case j.Attempt == 0:
-	case fails < s.Errors:
+	case j.Fails || fails < s.Errors:
 		e.how, work = Errored, errorWork
 	case s.classes[j.Class].Effect == balance.Keyed && s.stores.Seen(now, s.Plan, &s.classes[j.Class], j.Class, j.Effect):
 		work = errorWork // the answer to a repeat is at hand
@@ -232,10 +238,13 @@
 			e.how = Errored // it runs whole and fails at the end
 		}
 		e.effect = true
-		if j.Key != 0 && s.Plan.Kind.WarmGain > 0 && s.meet(now, j.Key) {
-			work *= 1 - s.Plan.Kind.WarmGain
+		if j.Key != 0 && s.Plan.Kind.WarmGain > 0 {
+			if e.met = s.meet(now, j.Key); e.met {
+				work *= 1 - s.Plan.Kind.WarmGain
+			}
 		}
 	}
+	e.took = work
 	e.at = now + work/s.speed(now)
 	s.push(e)
 }
@@ -288,7 +297,7 @@
 		}
 		s.mood(at)
 		if e.job.Attempt != 0 {
-			ended(Ended{Job: e.job, How: e.how, Effect: e.effect, At: at})
+			ended(Ended{Job: e.job, How: e.how, Effect: e.effect, At: at, Took: e.took, Met: e.met})
 		}
 	}
 	s.mood(now)
