Lab: experiments with a control plane, and a judge of it

[control] in an experiment names versions, controllers, an operator's steps and what the judge holds them to.

--- a/cmd/milldeck/lab.go
+++ b/cmd/milldeck/lab.go
@@ -575,10 +575,10 @@
 		byKind[ft.Kind] = append(byKind[ft.Kind], ft)
 	}
 	fmt.Fprint(w, "| fault | worth served | worst seed |")
-	for _, rule := range lab.Rules {
+	for _, rule := range f.Judged() {
 		fmt.Fprintf(w, " %s |", rule)
 	}
-	fmt.Fprintf(w, "\n| --- | --- | --- |%s\n", strings.Repeat(" --- |", len(lab.Rules)))
+	fmt.Fprintf(w, "\n| --- | --- | --- |%s\n", strings.Repeat(" --- |", len(f.Judged())))
 	broken := 0
 	for _, kind := range lab.FaultKinds() {
 		if len(byKind[kind]) == 0 {
@@ -603,7 +603,7 @@
 			}
 		}
 		fmt.Fprintf(w, "| `%s` | %.4f | %.4f |", kind, sum/float64(len(seeds)), worst)
-		for _, rule := range lab.Rules {
+		for _, rule := range f.Judged() {
 			fmt.Fprintf(w, " %d |", counts[rule])
 		}
 		fmt.Fprintln(w)
--- a/internal/lab/file.go
+++ b/internal/lab/file.go
@@ -61,6 +61,7 @@
 	Classes   []ClassFile   `toml:"class"`
 	Phases    []PhaseFile   `toml:"phase"`
 	Faults    []FaultFile   `toml:"fault"`
+	Control   *ControlFile  `toml:"control"` // nil: there is no control plane
 }
 
 // NetworkFile holds one-way delays.
@@ -309,6 +310,7 @@
 	f.checkServers(bad, inside, within)
 	f.checkClasses(bad, inside, within)
 	f.checkPhases(bad, inside)
+	f.checkControl(bad, inside)
 	for i := range f.Faults {
 		f.Faults[i].check(f, fmt.Sprintf("fault[%d]", i), bad)
 	}
--- a/internal/lab/judge.go
+++ b/internal/lab/judge.go
@@ -23,10 +23,30 @@
 	RuleForeign  Rule = "foreign"  // an answer belongs to its request and was made by a server
 	RuleUnknown  Rule = "unknown"  // no request that no client sent
 	RuleCrash    Rule = "crash"    // a sidecar ends only when it is told to
+
+	// The rules of the control plane; see ControlJudge.
+	RuleBudget   Rule = "budget"   // nothing is taken out where as much is out as may be
+	RuleHours    Rule = "hours"    // no tenant is kept off a server outside its hours
+	RuleOnce     Rule = "once"     // nothing is done twice
+	RuleStranded Rule = "stranded" // at the end all are back, on the version that they should have
+	RuleSpread   Rule = "spread"   // no more cold work than its budget
 )
 
 // Rules lists them in the order of reports.
-var Rules = []Rule{RuleAnswer, RuleTwice, RuleParallel, RuleDrain, RuleCold, RuleForeign, RuleUnknown, RuleCrash}
+var Rules = append(slices.Clone(wireRules), ControlRules...)
+
+var wireRules = []Rule{RuleAnswer, RuleTwice, RuleParallel, RuleDrain, RuleCold, RuleForeign, RuleUnknown, RuleCrash}
+
+// ControlRules lists those of the control plane.
+var ControlRules = []Rule{RuleBudget, RuleHours, RuleOnce, RuleStranded, RuleSpread}
+
+// Judged lists those that an experiment is judged by.
+func (f *File) Judged() []Rule {
+	if f.Controlled() {
+		return Rules
+	}
+	return wireRules
+}
 
 // Broken is a broken rule with the whole story of its request.
 type Broken struct {
