--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -34,10 +34,11 @@
 	RegistryDown  FaultKind = "registry-down"  // all replicas of the list service are killed, and started again
 	Roll          FaultKind = "roll"           // Target, Share, Steps, Reuse: servers are replaced by new ones, cold
 	Descriptors   FaultKind = "descriptors"    // Target, Share: idle connections fill the sidecars' descriptors
+	Platform      FaultKind = "platform"       // What, On, Count: the platform that starts and stops processes does wrong
 )
 
 // who says which parties a kind of fault can befall.
-type who uint8
+type who uint16
 
 const (
 	servers who = 1 << iota
@@ -45,6 +46,13 @@
 	zones
 	links
 	nobody
+	replicas // of the list service
+	agents
+	controllers
+	platform
+
+	// planes are the processes of the control plane that can be killed and frozen.
+	planes = replicas | agents | controllers | platform
 )
 
 // faultNeeds is what a kind of fault wants of its entry.
@@ -54,12 +62,12 @@
 }
 
 var faultKinds = map[FaultKind]faultNeeds{
-	Kill: {servers | sidecars, ""}, Freeze: {servers | sidecars, "for"}, Restart: {servers | sidecars, ""},
+	Kill: {servers | sidecars | planes, ""}, Freeze: {servers | sidecars | planes, "for"}, Restart: {servers | sidecars, ""},
 	Reload: {sidecars, ""}, Slow: {servers, "for by"}, FastErrors: {servers, "for part"}, Silent: {servers, "for"},
 	Refused: {servers, "for"}, ResetUnder: {servers, "for part"}, Spoilt: {servers, "for part"},
 	Cut: {links, "for"}, Delay: {links, "for ms"}, Loss: {links, "for part"}, ZoneLost: {zones, "for"},
 	DiscoveryDown: {nobody, "for"}, DiscoveryLate: {nobody, "for ms"}, DiscoveryBad: {nobody, "for share"},
-	RegistryDown: {nobody, "for"}, Roll: {servers, "for"}, Descriptors: {sidecars, "for"},
+	RegistryDown: {nobody, "for"}, Platform: {nobody, ""}, Roll: {servers, "for"}, Descriptors: {sidecars, "for"},
 }
 
 // FaultKinds lists the kinds of faults by name.
@@ -109,6 +117,10 @@
 	}
 	own := file.Discovery.Source == "registry"
 	switch kind := FaultKind(f.Kind); {
+	case file.Controlled() && (kind == Platform || kind == Cut && f.Target != ""):
+		f.checkPlane(file, at, bad)
+	case kind == Platform:
+		bad(at+".kind", "%s needs [control]", f.Kind)
 	case kind == RegistryDown && !own:
 		bad(at+".kind", "%s needs discovery.source = \"registry\"", f.Kind)
 	case own && (kind == Cut || kind == DiscoveryDown || kind == DiscoveryLate || kind == DiscoveryBad):
@@ -118,7 +130,7 @@
 	case needs.who != nobody:
 		if s, err := parseTarget(f.Target, file); err != nil {
 			bad(at+".target", "%v", err)
-		} else if s.who&needs.who == 0 {
+		} else if s.who&needs.who == 0 || file.Controlled() && f.Kind == string(Freeze) && s.who&servers != 0 {
 			bad(at+".target", "%s cannot befall %q", f.Kind, f.Target)
 		}
 	case f.Target != "" && f.Target != "discovery":
@@ -147,6 +159,8 @@
 	zone        int    // -1: any
 	kind        string // "": any
 	first, last int    // of a numbered range; -1: all
+	controller  string // "": none
+	leader      bool
 	discovery   bool
 	clients     bool
 }
@@ -198,7 +212,7 @@
 			return t, fmt.Errorf("unknown target %q, numbers go from 0 to %d", text, most-1)
 		}
 	default:
-		return t, fmt.Errorf("unknown target %q", text)
+		return parsePlane(text, file)
 	}
 	return t, nil
 }
@@ -214,6 +228,15 @@
 	By       float64
 	MS       float64
 
+	// Of the control plane: replicas (Leader: the one that leads then) and agents by number, controllers by name, and
+	// the platform, which may also do wrong as What says.
+	Replicas, Agents []int
+	Leader           bool
+	Controllers      []string
+	Supervisor       bool
+	What, On         string
+	Count            int
+
 	// Of links: which there are, and which way nothing passes.
 	A, B        Parties
 	There, Back bool
@@ -271,7 +294,15 @@
 	if f.ForS > 0 {
 		out.End = out.At + 1000*f.ForS
 	}
-	switch needs := faultKinds[out.Kind]; needs.who {
+	out.What, out.On, out.Count = f.What, f.On, f.Count
+	needs := faultKinds[out.Kind]
+	if p.File.Controlled() && f.Target != "" {
+		p.plane(f, &out)
+		if out.Kind == Cut {
+			return out
+		}
+	}
+	switch needs.who {
 	case links:
 		out.A, out.B = p.parties(f.Between[0]), p.parties(f.Between[1])
 		out.There, out.Back = f.Direction != "back", f.Direction != "there"
--- a/internal/lab/file.go
+++ b/internal/lab/file.go
@@ -197,6 +197,9 @@
 	MS        float64  `toml:"ms"`
 	Steps     int      `toml:"steps"`
 	Reuse     bool     `toml:"reuse"` // roll: new servers take the addresses of those that went
+	What      string   `toml:"what"`  // platform: what it does
+	On        string   `toml:"on"`    // platform: the calls that it is about, "do" or "list"; "": both
+	Count     int      `toml:"count"` // platform: how many calls; 0: all for ForS, or one
 }
 
 // Load reads an experiment. Errors name file, line and key.
