Lab: the control plane as processes: platform, servers, sidecars, agents, controllers, steps, faults

With [control] the platform's stand-in starts model servers and sidecars as processes, controllers run beside them, an operator's steps are played, and each of them can be killed, frozen or do wrong. Without [control] nothing changes.

--- a/internal/lab/control.go
+++ b/internal/lab/control.go
@@ -100,6 +100,9 @@
 	maxControl     = 200 // entries of the other lists
 )
 
+// unplayed are the faults that servers' processes do not play.
+var unplayed = []FaultKind{Roll, Refused, Silent, ResetUnder, Spoilt}
+
 // Controlled tells whether the control plane takes part.
 func (f *File) Controlled() bool { return f.Control != nil }
 
@@ -141,7 +144,7 @@
 	f.checkSteps(bad, inside)
 	f.checkJudged(bad, inside)
 	for i := range f.Faults {
-		if k := FaultKind(f.Faults[i].Kind); k == Roll || k == ZoneLost || k == Refused {
+		if k := FaultKind(f.Faults[i].Kind); slices.Contains(unplayed, k) {
 			bad(fmt.Sprintf("fault[%d].kind", i), "%s is not played with the control plane", k)
 		}
 	}
--- a/internal/lab/faults_control.go
+++ b/internal/lab/faults_control.go
@@ -115,3 +115,8 @@
 		out.Supervisor = true
 	}
 }
+
+// CutsReplicas tells whether a fault cuts a replica off.
+func (p *Plan) CutsReplicas() bool {
+	return slices.ContainsFunc(p.Faults, func(f Fault) bool { return f.Kind == Cut && (f.Leader || len(f.Replicas) > 0) })
+}
--- a/internal/lab/harm.go
+++ b/internal/lab/harm.go
@@ -1,6 +1,9 @@
 package lab
 
-import "math"
+import (
+	"fmt"
+	"math"
+)
 
 // Harm is what a version of servers does wrong. The zero value is a version that does nothing wrong.
 type Harm struct {
@@ -65,3 +68,9 @@
 	}
 	return fate < h.ErrorShare, slower
 }
+
+// Text is the harm as a file of its own.
+func (h *Harm) Text() string {
+	return fmt.Sprintf("never_ready = %v\nfails_at_start = %v\nerror_share = %f\nslower_by = %f\nslower_above = %f\nclass = %q\ntenant = %q\nleak_mb_s = %f\nleak_most_mb = %f\nloses_answers = %v\n",
+		h.NeverReady, h.FailsAtStart, h.ErrorShare, h.SlowerBy, h.SlowerAbove, h.Class, h.Tenant, h.LeakMBS, h.LeakMostMB, h.LosesAnswers)
+}
--- /dev/null
+++ b/internal/lab/live/controllers.go
@@ -0,0 +1,207 @@
+package live
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"milldeck/internal/lab"
+	"milldeck/internal/lab/proc"
+	"milldeck/internal/registry"
+	"milldeck/internal/supervisor"
+)
+
+const (
+	controllerReady = 15 * time.Second
+	// stepWait bounds a command of an operator's: one that follows what it has started is to be killed by then.
+	stepWait = 60 * time.Second
+	mostSaid = 500 // bytes of a command's output in an error
+)
+
+// controller is a process of the program that acts on the fleet.
+type controller struct {
+	c    *control
+	file *lab.ControllerFile
+	addr string
+
+	mu   sync.Mutex
+	proc *proc.Process
+}
+
+func newController(c *control, n int) *controller {
+	return &controller{c: c, file: &c.file.Controllers[n], addr: c.f.addrs.Addr(planeNet, 0, controllerPort+n)}
+}
+
+// fill puts in what placeholders stand for.
+func (c *control) fill(text, name, listen, config, file string) string {
+	https := c.f.registry.cluster.HTTPs()
+	var quoted []string
+	for _, a := range https {
+		quoted = append(quoted, fmt.Sprintf("%q", a))
+	}
+	pairs := []string{
+		"{replicas}", strings.Join(https, ","), "{list}", "[" + strings.Join(quoted, ", ") + "]", "{supervisor}", c.supervisorAddr(),
+		"{listen}", listen, "{name}", name, "{dir}", filepath.Join(c.f.opts.Dir, name), "{config}", config, "{file}", file,
+	}
+	for _, k := range c.controllers {
+		pairs = append(pairs, "{at:"+k.file.Name+"}", k.addr)
+	}
+	return strings.NewReplacer(pairs...).Replace(text)
+}
+
+func (k *controller) start(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, controllerReady)
+	defer cancel()
+	dir, name := k.c.f.opts.Dir, k.file.Name
+	if err := os.MkdirAll(filepath.Join(dir, name), 0o755); err != nil {
+		return fmt.Errorf("controller %s: %w", name, err)
+	}
+	path := filepath.Join(dir, name+".toml")
+	if err := os.WriteFile(path, []byte(k.c.fill(k.file.Config, name, k.addr, path, "")), 0o600); err != nil {
+		return fmt.Errorf("controller %s: %w", name, err)
+	}
+	var args []string
+	for _, a := range k.file.Args {
+		args = append(args, k.c.fill(a, name, k.addr, path, ""))
+	}
+	p, err := proc.Start(proc.Spec{Name: "controller " + name, Path: k.c.f.opts.Milldeck, Args: args, Log: filepath.Join(dir, name+".log")})
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	k.proc = p
+	k.mu.Unlock()
+	_, err = p.WaitLog(ctx, k.file.Ready)
+	return err
+}
+
+func (k *controller) running() *proc.Process {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.proc
+}
+
+func (k *controller) kill() {
+	if p := k.running(); p != nil {
+		p.Kill()
+	}
+}
+
+// stop ends it as at a planned end. It is no part of what is judged whether it does so in time.
+func (k *controller) stop(ctx context.Context) {
+	if p := k.running(); p != nil && p.Running() {
+		if err := p.Stop(ctx); err != nil {
+			slog.Warn("a controller did not end well", "error", err)
+		}
+	}
+}
+
+// steps plays what an operator does, each step at its time.
+func (c *control) steps(ctx context.Context) {
+	var all sync.WaitGroup
+	defer all.Wait()
+	for i := range c.file.Steps {
+		s := &c.file.Steps[i]
+		all.Go(func() {
+			if !sleep(ctx, millis(1000*s.AtS-c.f.now())) {
+				return
+			}
+			slog.Debug("step", "args", s.Args, "do", s.Do)
+			what := fmt.Sprintf("step %d", i)
+			if s.Do != "" {
+				c.trouble(what, c.act(ctx, i, s))
+				return
+			}
+			c.trouble(what, c.command(ctx, i, s))
+		})
+	}
+}
+
+// command runs a command of the program, which has to end with the step's status.
+func (c *control) command(ctx context.Context, n int, s *lab.StepFile) error {
+	path := filepath.Join(c.f.opts.Dir, fmt.Sprintf("step%d.toml", n))
+	if err := os.WriteFile(path, []byte(c.fill(s.File, "step", "", "", path)), 0o600); err != nil {
+		return err
+	}
+	var args []string
+	for _, a := range s.Args {
+		args = append(args, c.fill(a, "step", "", "", path))
+	}
+	ctx, cancel := context.WithTimeout(ctx, stepWait)
+	defer cancel()
+	out, err := exec.CommandContext(ctx, c.f.opts.Milldeck, args...).CombinedOutput()
+	if logged := os.WriteFile(filepath.Join(c.f.opts.Dir, fmt.Sprintf("step%d.log", n)), out, 0o644); logged != nil {
+		return logged
+	}
+	status := 0
+	var exit *exec.ExitError
+	if errors.As(err, &exit) && ctx.Err() == nil {
+		status, err = exit.ExitCode(), nil
+	}
+	if err == nil && status != s.Status {
+		err = fmt.Errorf("milldeck %s ended with status %d, not %d: %s", strings.Join(args, " "), status, s.Status, tail(out))
+	}
+	return err
+}
+
+func tail(out []byte) string {
+	return strings.TrimSpace(string(out[max(0, len(out)-mostSaid):]))
+}
+
+// act does something to units behind the controllers' back.
+func (c *control) act(ctx context.Context, n int, s *lab.StepFile) error {
+	of, beside := c.f.plan.Units(s.Target)
+	var units []string
+	for _, i := range of {
+		units = append(units, c.f.plan.Servers[i].UID)
+	}
+	for _, i := range beside {
+		units = append(units, c.f.plan.Sidecars[i].Name)
+	}
+	if s.Do == "drain" {
+		for _, i := range of {
+			if _, err := c.f.registry.client.SetState(ctx, registry.Write{}, c.f.plan.Servers[i].UID, registry.Terminating); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	known, err := c.client.List(ctx)
+	if err != nil {
+		return err
+	}
+	var all []supervisor.Request
+	for _, name := range units {
+		u := known.Find(name)
+		if u == nil {
+			return fmt.Errorf("the platform knows no unit %s", name)
+		}
+		r := supervisor.Request{ID: fmt.Sprintf("lab/step%d/%s", n, name), Op: supervisor.Op(s.Do), Memory: known.Memory, Unit: name, Incarnation: u.Incarnation}
+		if r.Op != supervisor.Stop {
+			r.Kind, r.Version, r.Listen, r.Zone, r.Config = u.Kind, u.Version, u.Listen, u.Zone, u.Config
+		}
+		all = append(all, r)
+	}
+	out, err := c.client.Do(ctx, all...)
+	for i := range out {
+		err = errors.Join(err, out[i].Err())
+	}
+	return err
+}
+
+// signalAll sends a signal to a process where there is one.
+func signalAll(sig syscall.Signal, all ...*proc.Process) {
+	for _, p := range all {
+		if p != nil {
+			p.Signal(sig)
+		}
+	}
+}
--- a/internal/lab/live/faults.go
+++ b/internal/lab/live/faults.go
@@ -62,8 +62,15 @@
 }
 
 func (f *fleet) begin(ctx context.Context, ft *lab.Fault) {
+	if f.control != nil {
+		f.control.begin(ctx, ft)
+	}
 	for _, i := range ft.Servers {
 		s := f.servers[i]
+		if f.control != nil {
+			f.control.befall(ctx, s, ft)
+			continue
+		}
 		switch ft.Kind {
 		case lab.Kill:
 			s.die()
@@ -123,8 +130,15 @@
 }
 
 func (f *fleet) end(ctx context.Context, ft *lab.Fault) {
+	if f.control != nil {
+		f.control.end(ctx, ft)
+	}
 	for _, i := range ft.Servers {
 		s := f.servers[i]
+		if f.control != nil {
+			f.control.spare(ctx, s, ft)
+			continue
+		}
 		switch ft.Kind {
 		case lab.Kill:
 			if !s.isUp() {
@@ -259,6 +273,10 @@
 
 // restart ends a sidecar as a planned restart does and starts it again.
 func (f *fleet) restart(n *node) {
+	if f.control != nil {
+		f.control.trouble("restart", f.control.restart(f.ctx, f.plan.Sidecars[n.n].Name))
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), killAfter)
 	defer cancel()
 	if err := n.stop(ctx); err != nil {
@@ -273,6 +291,10 @@
 	if f.ctx.Err() != nil {
 		return
 	}
+	if f.control != nil {
+		f.control.trouble("start of a sidecar", f.control.revive(f.ctx, f.plan.Sidecars[n.n].Name))
+		return
+	}
 	err := n.start()
 	if err == nil {
 		err = n.ready(f.ctx)
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -5,15 +5,8 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
-	"log/slog"
 	"math"
-	"net/http"
-	"os"
-	"path/filepath"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -64,7 +57,9 @@
 	if err := f.start(ctx); err != nil {
 		return nil, err
 	}
-	return f.play(ctx), nil
+	f.zero.Store(int64(time.Since(f.made)))
+	r := f.play(ctx)
+	return r, f.control.failed()
 }
 
 // fleet is all that takes part in a run.
@@ -83,6 +78,7 @@
 	zero   atomic.Int64 // ns from made to the run's time 0, when all sidecars are ready
 
 	registry *listService // nil: discovery is the lab's stand-in
+	control  *control     // nil: there is no control plane
 	servers  []*server
 	agents   []*agent
 	nodes    []*node
@@ -119,6 +115,9 @@
 	if p.File.Discovery.Source == "registry" {
 		f.registry = &listService{f: f}
 	}
+	if p.File.Controlled() {
+		f.control = newControl(f)
+	}
 	for i := range p.Servers {
 		f.servers = append(f.servers, f.newServer(i))
 	}
@@ -172,8 +171,8 @@
 // start brings up servers, discovery and sidecars; the run's time begins once all are ready.
 func (f *fleet) start(ctx context.Context) error {
 	for _, s := range f.servers {
-		if s.plan.Born > 0 {
-			continue
+		if s.plan.Born > 0 || f.control != nil {
+			continue // a platform starts it
 		}
 		if err := s.start(0, false); err != nil {
 			return err
@@ -184,6 +183,9 @@
 			a.boots[s.n] = 0
 		}
 	}
+	if f.control != nil {
+		return f.control.start(ctx)
+	}
 	if f.registry != nil {
 		if err := f.registry.start(ctx); err != nil {
 			return err
@@ -211,7 +213,6 @@
 			return err
 		}
 	}
-	f.zero.Store(int64(time.Since(f.made)))
 	return nil
 }
 
@@ -223,9 +224,15 @@
 	around.Go(func() { f.beat(load) })
 	around.Go(func() { f.report(load) })
 	around.Go(func() { f.inject(load) })
+	if f.control != nil {
+		around.Go(func() { f.control.steps(load) })
+	}
 	f.load(load)
 	f.settle(ctx)
 	stop()
+	if f.control != nil {
+		f.control.finish()
+	}
 	around.Wait()
 	f.restarts.Wait()
 	f.stopNodes()
@@ -282,6 +289,10 @@
 
 // stopNodes ends the sidecars in good order.
 func (f *fleet) stopNodes() {
+	if f.control != nil {
+		f.control.stop()
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), killAfter)
 	defer cancel()
 	var all sync.WaitGroup
@@ -299,6 +310,9 @@
 // close ends whatever is left.
 func (f *fleet) close() {
 	f.cancel()
+	if f.control != nil {
+		f.control.close()
+	}
 	for _, n := range f.nodes {
 		n.app.close()
 		n.mu.Lock()
@@ -315,196 +329,12 @@
 		f.registry.close()
 	}
 	for _, s := range f.servers {
-		s.die()
+		if f.control == nil {
+			s.die()
+		}
 	}
 	if f.peers != nil {
 		f.peers.close()
 	}
 	f.addrs.Release()
 }
-
-// node is one sidecar's process.
-type node struct {
-	f    *fleet
-	n    int
-	addr string
-	app  app
-
-	mu   sync.Mutex
-	proc *proc.Process
-	life int
-	told *atomic.Bool // this process was told to end
-}
-
-func (f *fleet) newNode(n int) *node { return &node{f: f, n: n, addr: f.addrs.sidecar(n)} }
-
-// start starts the process with what its agent knows.
-func (n *node) start() error {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	f := n.f
-	path := f.configPath(n)
-	if err := n.write(path); err != nil {
-		return err
-	}
-	p, err := proc.Start(proc.Spec{
-		Name: "sidecar " + f.plan.Sidecars[n.n].Name, Path: f.opts.Sidecar, Env: []string{"NODE_CONFIG=" + path},
-		Log: filepath.Join(f.opts.Dir, f.plan.Sidecars[n.n].Name+".log"),
-	})
-	if err != nil {
-		return err
-	}
-	n.proc, n.told = p, new(atomic.Bool)
-	n.life++
-	f.judge.Forget(n.n)
-	go n.mind(p, n.told)
-	return nil
-}
-
-func (f *fleet) configPath(n *node) string {
-	return filepath.Join(f.opts.Dir, f.plan.Sidecars[n.n].Name+".json")
-}
-
-// mind notices a process that ends by itself once the run has begun; before, its start has failed.
-func (n *node) mind(p *proc.Process, told *atomic.Bool) {
-	<-p.Done()
-	if !told.Load() && n.f.zero.Load() != 0 {
-		slog.Error("a sidecar ended by itself", "sidecar", n.f.plan.Sidecars[n.n].Name, "error", p.Exit(), "log", p.Log())
-		n.f.judge.Crashed(n.f.now(), n.n, fmt.Sprint(p.Exit()))
-	}
-}
-
-// write writes the configuration.
-func (n *node) write(path string) error {
-	f, a := n.f, n.f.agents[n.n]
-	a.mu.Lock()
-	known := a.all()
-	discovery := a.addr()
-	a.mu.Unlock()
-	s := f.plan.File.Sidecars
-	type m = map[string]any
-	config := m{
-		"name": f.plan.Sidecars[n.n].Name, "listen": n.addr, "discovery": discovery,
-		"seed":   fmt.Sprintf("%016x", f.plan.LifeSeed(n.n, n.life)),
-		"limits": m{"cores": s.Cores, "memory_mb": s.MemoryMB, "sockets": s.Sockets},
-		"known":  known, "settings": json.RawMessage(f.plan.Settings(n.n)),
-	}
-	if f.peers != nil {
-		var all []string
-		for i := range f.nodes {
-			all = append(all, f.addrs.peer(i))
-		}
-		config["peer_listen"], config["peers"] = f.addrs.peerListen(n.n), all
-	}
-	data, err := json.Marshal(config)
-	if err != nil {
-		return fmt.Errorf("configuration of sidecar %d: %w", n.n, err)
-	}
-	if err := os.WriteFile(path, data, 0o600); err != nil {
-		return fmt.Errorf("configuration of sidecar %d: %w", n.n, err)
-	}
-	return nil
-}
-
-// ready waits until the sidecar says that it is.
-func (n *node) ready(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readyWait)
-	defer cancel()
-	n.mu.Lock()
-	p := n.proc
-	n.mu.Unlock()
-	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	for {
-		resp, err := client.Get("http://" + n.addr + "/health/ready")
-		if err == nil {
-			resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				return nil
-			}
-		}
-		if !p.Running() {
-			return fmt.Errorf("%s ended before it was ready (%v); its log ends:\n%s", p.Name, p.Exit(), p.Log())
-		}
-		if !sleep(ctx, readyPoll) {
-			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-				return fmt.Errorf("%s did not get ready within %v; its log ends:\n%s", p.Name, readyWait, p.Log())
-			}
-			return ctx.Err()
-		}
-	}
-}
-
-// stop ends the process with SIGTERM; ctx bounds it.
-func (n *node) stop(ctx context.Context) error {
-	n.mu.Lock()
-	p := n.proc
-	if p == nil || !p.Running() {
-		n.mu.Unlock()
-		return nil
-	}
-	n.told.Store(true)
-	n.mu.Unlock()
-	return p.Stop(ctx)
-}
-
-// kill ends the process at once. What it owed is not its fault.
-func (n *node) kill() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.proc == nil || !n.proc.Running() {
-		return
-	}
-	n.told.Store(true)
-	now := n.f.now()
-	n.f.judge.Excuse(n.n, now-slackMS, now+slackMS)
-	n.proc.Kill()
-}
-
-func (n *node) signal(sig syscall.Signal) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.proc != nil {
-		n.proc.Signal(sig)
-	}
-}
-
-// addresses are this run's: its own part of the loopback range.
-type addresses struct{ *proc.Block }
-
-const (
-	sidecarPort = 8081
-	peerPort    = 7946
-	peerNets    = 8     // third byte from which on the sidecars are for each other
-	serverPort  = 10000 // plus the sidecar's number
-	serverNets  = 16    // third byte from which on servers are; below it are sidecars and discovery
-)
-
-func (a addresses) sidecar(n int) string { return a.Addr(1, n, sidecarPort) }
-
-// peerListen is where a sidecar hears the others, and peer where they reach it, by way of the relay.
-func (a addresses) peerListen(n int) string { return a.Addr(1, n, peerPort) }
-
-func (a addresses) peer(n int) string { return a.Addr(peerNets, n, peerPort) }
-
-func (a addresses) discovery(n, which int) string { return a.Addr(0, which, serverPort+n) }
-
-func (a addresses) server(slot, sidecar int) string {
-	return a.Addr(serverNets, slot, serverPort+sidecar)
-}
-
-// LogTail gathers the ends of all logs of a run, for a failure's report.
-func LogTail(dir string) string {
-	var b strings.Builder
-	logs, _ := filepath.Glob(filepath.Join(dir, "*.log")) // the pattern is well-formed
-	for _, path := range logs {
-		data, err := os.ReadFile(path)
-		if err != nil {
-			continue
-		}
-		if len(data) > 2000 {
-			data = data[len(data)-2000:]
-		}
-		fmt.Fprintf(&b, "== %s\n%s\n", filepath.Base(path), data)
-	}
-	return b.String()
-}
--- a/internal/lab/live/program.go
+++ b/internal/lab/live/program.go
@@ -235,8 +235,8 @@
 	p.front.mu.Lock()
 	load := float64(p.front.model.Load()) / p.cores
 	p.front.mu.Unlock()
-	var slower float64
-	j.Fails, slower = p.harm.Befalls(p.file.Class[j.Class].Name, j.Tenant, load, rand.Float64())
+	fails, slower := p.harm.Befalls(p.file.Class[j.Class].Name, j.Tenant, load, rand.Float64())
+	j.Fails = j.Fails || fails
 	j.Work *= slower
 }
 
--- a/internal/lab/live/registry.go
+++ b/internal/lab/live/registry.go
@@ -9,13 +9,13 @@
 	"sync"
 	"time"
 
+	"milldeck/internal/lab"
 	"milldeck/internal/lab/proc"
 	"milldeck/internal/registry"
 	"milldeck/internal/registry/cluster"
 )
 
 const (
-	replicas  = 3
 	listReady = 20 * time.Second
 	writeWait = 5 * time.Second
 )
@@ -28,7 +28,8 @@
 	cluster *cluster.Cluster
 	client  *registry.Client
 	keeper  *registry.Keeper
-	agents  []*proc.Process
+	links   *cluster.Links  // nil: no replica is ever cut off
+	agents  []*proc.Process // by sidecar
 	ctx     context.Context
 	stop    context.CancelFunc
 	around  sync.WaitGroup
@@ -40,15 +41,9 @@
 	l.ctx, l.stop = context.WithCancel(f.ctx)
 	ctx, cancel := context.WithTimeout(ctx, listReady)
 	defer cancel()
-	var err error
-	l.cluster, err = cluster.Start(ctx, replicas, cluster.Options{Program: f.opts.Milldeck, Dir: f.opts.Dir, Block: f.addrs.Block})
-	if err != nil {
-		return err
-	}
-	if l.client, err = l.cluster.Client(); err != nil {
+	if err := l.startReplicas(ctx); err != nil {
 		return err
 	}
-	l.keeper = registry.NewKeeper(l.client)
 	for _, s := range f.servers {
 		if s.plan.Born == 0 {
 			l.keeper.Add(l.instance(s))
@@ -58,7 +53,30 @@
 		return fmt.Errorf("list service: %w", err)
 	}
 	l.around.Go(func() { l.keep() })
-	for _, a := range f.agents {
+	return l.startAgents(ctx)
+}
+
+// startReplicas starts the replicas, with no server registered.
+func (l *listService) startReplicas(ctx context.Context) error {
+	f := l.f
+	opts := cluster.Options{Program: f.opts.Milldeck, Dir: f.opts.Dir, Block: f.addrs.Block}
+	if f.plan.CutsReplicas() {
+		l.links = cluster.NewLinks(f.addrs.Block)
+		opts.Advertise = l.links.Advertise
+	}
+	var err error
+	if l.cluster, err = cluster.Start(ctx, lab.Replicas, opts); err != nil {
+		return err
+	}
+	if l.client, err = l.cluster.Client(); err != nil {
+		return err
+	}
+	l.keeper = registry.NewKeeper(l.client)
+	return nil
+}
+
+func (l *listService) startAgents(ctx context.Context) error {
+	for _, a := range l.f.agents {
 		if err := l.startAgent(ctx, a); err != nil {
 			return err
 		}
@@ -88,19 +106,17 @@
 
 // startAgent starts the agent of a sidecar and waits until it has the list.
 func (l *listService) startAgent(ctx context.Context, a *agent) error {
-	f, name := l.f, fmt.Sprintf("agent%d", a.n)
+	f, name := l.f, agentName(a.n)
 	path := filepath.Join(f.opts.Dir, name+".toml")
 	text := fmt.Sprintf("listen = %q\nreplicas = [%q, %q, %q]\nsaved = %q\nfleet = %d\n", a.addr(), l.cluster.Replicas[0].HTTP,
 		l.cluster.Replicas[1].HTTP, l.cluster.Replicas[2].HTTP, filepath.Join(f.opts.Dir, name+".list"), len(f.agents))
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		return err
+	if f.control != nil {
+		text += f.control.agentMore(name)
 	}
-	p, err := proc.Start(proc.Spec{Name: name, Path: f.opts.Milldeck, Args: []string{"agent", "--config", path}, Log: filepath.Join(f.opts.Dir, name+".log")})
-	if err != nil {
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return err
 	}
-	l.agents = append(l.agents, p)
-	if _, err := p.WaitLog(ctx, "msg=serves"); err != nil {
+	if err := l.launchAgent(ctx, a); err != nil {
 		return err
 	}
 	l.around.Go(func() { l.follow(a) })
@@ -112,11 +128,32 @@
 			return nil
 		}
 		if !sleep(ctx, readyPoll) {
-			return fmt.Errorf("%s has no list: %w\n%s", name, ctx.Err(), p.Log())
+			return fmt.Errorf("%s has no list: %w\n%s", name, ctx.Err(), l.agents[a.n].Log())
 		}
 	}
 }
 
+func agentName(n int) string { return fmt.Sprintf("agent%d", n) }
+
+// launchAgent starts an agent's process, once more after it has ended.
+func (l *listService) launchAgent(ctx context.Context, a *agent) error {
+	dir, name := l.f.opts.Dir, agentName(a.n)
+	p, err := proc.Start(proc.Spec{
+		Name: name, Path: l.f.opts.Milldeck, Args: []string{"agent", "--config", filepath.Join(dir, name+".toml")},
+		Log: filepath.Join(dir, name+".log"),
+	})
+	if err != nil {
+		return err
+	}
+	if a.n < len(l.agents) {
+		l.agents[a.n] = p
+	} else {
+		l.agents = append(l.agents, p)
+	}
+	_, err = p.WaitLog(ctx, "msg=serves")
+	return err
+}
+
 // follow watches an agent as its sidecar does.
 func (l *listService) follow(a *agent) {
 	rev := uint64(0)
--- a/internal/lab/live/remote.go
+++ b/internal/lab/live/remote.go
@@ -101,7 +101,7 @@
 
 // say calls the lab and does not wait.
 func (r *remote) say(method string, args any) {
-	r.c.Go("Lab."+method, args, new(struct{}), make(chan *rpc.Call, 1))
+	r.c.Go("Lab."+method, args, new(int), make(chan *rpc.Call, 1))
 }
 
 // remoteCall is an attempt of which the lab knows.
@@ -142,7 +142,7 @@
 
 func (c *remoteCall) over(how string) { c.r.say("Over", Over{c.n, time.Now().UnixNano(), how}) }
 
-func (c *remoteCall) made() { c.r.ask("Made", c.n, new(struct{})) }
+func (c *remoteCall) made() { c.r.ask("Made", c.n, new(int)) }
 
 func (r *remote) count(add func(*lab.Counts)) {
 	var c lab.Counts
@@ -150,16 +150,16 @@
 	r.say("Count", c)
 }
 
-func (r *remote) ready() { r.once.Do(func() { r.say("Ready", struct{}{}) }) }
+func (r *remote) ready() { r.once.Do(func() { r.say("Ready", 0) }) }
 
-func (r *remote) ends() { r.ask("Ends", struct{}{}, new(struct{})) }
+func (r *remote) ends() { r.ask("Ends", 0, new(int)) }
 
 func (r *remote) ran(at time.Time, e lab.Ended) {
 	r.say("Ran", Ran{e.Request, at.UnixNano(), e.Effect, e.Took, e.Met})
 }
 
 func (r *remote) fell(at time.Time, fall *lab.Fall) {
-	r.ask("Fell", Fell{at.UnixNano(), *fall}, new(struct{}))
+	r.ask("Fell", Fell{at.UnixNano(), *fall}, new(int))
 }
 
 // Seen asks for the effects of the server's group, which the lab keeps for all of them.
--- /dev/null
+++ b/internal/lab/live/units.go
@@ -0,0 +1,86 @@
+package live
+
+import (
+	"context"
+	"fmt"
+	"strings"
+)
+
+// serverFile is the configuration of a server's process.
+func (c *control) serverFile(s *server) string {
+	f := c.f.plan.File
+	k, p := s.plan.Kind, s.plan
+	var b strings.Builder
+	fmt.Fprintf(&b, "lab = %q\nnumber = %d\nzone = %d\npod = %d\nspeed = %v\ncold_ms = %v\nwarm = true\nseed = %d\nprobes = %v\n",
+		c.observerAddr(), s.n, p.Zone, p.Pod, float(p.Speed), float(p.ColdMS), c.f.plan.Seed>>1, f.Limits.Probes)
+	fmt.Fprintf(&b, "[rules]\nfall_multiple = %v\nfall_ms = %v\n", float(f.Rules.FallMultiple), float(f.Rules.FallMS))
+	fmt.Fprintf(&b, "[kind]\nkind = %q\ncores = %d\nqueue = %d\npod_size = %d\ncold_from = %v\n", k.Kind, k.Cores, k.Queue, k.PodSize, float(k.ColdFrom))
+	fmt.Fprintf(&b, "choke_at = %v\nchoke_for_ms = %v\nchoke_slower = %v\nchoke_idle_ms = %v\nchoke_most_ms = %v\n",
+		float(k.ChokeAt), float(k.ChokeForMS), float(k.ChokeSlower), float(k.ChokeIdleMS), float(k.ChokeMostMS))
+	fmt.Fprintf(&b, "warm_gain = %v\nwarm_ms = %v\nwarm_keys = %d\nconnections = %d\nidle_close_ms = %v\nhandshake_ms = %v\nerror_rate = %v\n",
+		float(k.WarmGain), float(k.WarmMS), k.WarmKeys, k.Connections, float(k.IdleCloseMS), float(k.HandshakeMS), float(k.ErrorRate))
+	for i := range f.Classes {
+		k := &f.Classes[i]
+		fmt.Fprintf(&b, "[[class]]\nname = %q\nshare = %v\nwork_ms = [%v, %v]\naim_ms = %v\ndeadline_ms = %v\nworth = %v\neffect = %q\n",
+			k.Name, float(k.Share), float(k.WorkMS.Least), float(k.WorkMS.Most), float(k.AimMS), float(k.DeadlineMS), float(k.Worth), k.Effect)
+		if k.Group != "" {
+			fmt.Fprintf(&b, "group = %q\nwindow_ms = %v\n", k.Group, float(k.WindowMS))
+		}
+	}
+	return b.String()
+}
+
+// float is a figure as TOML has it: with a point.
+func float(v float64) string {
+	s := fmt.Sprintf("%g", v)
+	if !strings.ContainsAny(s, ".e") {
+		s += ".0"
+	}
+	return s
+}
+
+// register has a server in the list for the first time, before anybody reads it.
+func (c *control) register(ctx context.Context, s *server) error {
+	l := c.f.registry
+	c.f.listMu.Lock()
+	c.f.listed[s.n] = ready
+	c.f.listMu.Unlock()
+	l.keeper.Add(l.instance(s))
+	if err := l.keeper.Once(ctx); err != nil {
+		return fmt.Errorf("list service: %w", err)
+	}
+	return nil
+}
+
+// came lists a server whose process answers the platform's ready check; its first life in the run is warm.
+func (c *control) came(s *server, first bool) {
+	s.mu.Lock()
+	if s.up {
+		s.mu.Unlock()
+		return
+	}
+	s.up = true
+	s.life++
+	if !first {
+		s.boot = c.now()
+	}
+	s.mu.Unlock()
+	if !first {
+		c.f.publish(s, ready)
+	}
+}
+
+// went ends a server's life: it deregisters where it was told to end, else its lease runs out.
+func (c *control) went(s *server, told bool) {
+	s.mu.Lock()
+	was := s.up
+	s.up = false
+	s.mu.Unlock()
+	switch {
+	case !was || c.over.Load():
+	case told:
+		c.f.publish(s, gone)
+	default:
+		c.f.registry.keeper.Drop(s.plan.UID)
+	}
+}
