--- a/cmd/milldeck/lab.go
+++ b/cmd/milldeck/lab.go
@@ -79,7 +79,7 @@
 // verdict is the error of a run whose sidecars broke rules.
 func verdict(r *lab.Result) error {
 	if r.BrokenRules > 0 {
-		return fmt.Errorf("%s, seed %d: %d rule(s) broken", r.Name, r.Seed, r.BrokenRules)
+		return fmt.Errorf("%s, seed %d: %d rule(s) broken (%s)", r.Name, r.Seed, r.BrokenRules, strings.Join(ruleNames(r), ", "))
 	}
 	if r.Overloaded {
 		return fmt.Errorf("%s: this machine cannot play the load: it was %.0f ms late (99th percentile) and sent %d requests too late; the sidecars are not judged",
@@ -91,6 +91,21 @@
 	return nil
 }
 
+// ruleNames are the rules that a run broke, of those that count.
+func ruleNames(r *lab.Result) []string {
+	rules := lab.Rules
+	if r.Overloaded {
+		rules = lab.ControlRules
+	}
+	var names []string
+	for _, rule := range rules {
+		if r.RuleCounts[rule] > 0 {
+			names = append(names, string(rule))
+		}
+	}
+	return names
+}
+
 // draws are the flags of how an experiment is drawn.
 type draws struct {
 	seed    uint64
--- a/internal/lab/live/observe.go
+++ b/internal/lab/live/observe.go
@@ -112,7 +112,6 @@
 	for _, k := range open {
 		k.overAt(now, connectionClosed)
 	}
-	l.c.ended(l.pid)
 	l.c.went(s, told)
 }
 
--- a/internal/lab/live/watch.go
+++ b/internal/lab/live/watch.go
@@ -29,6 +29,7 @@
 
 // began notes a process of a unit, once.
 func (c *control) began(unit string, pid int, version string) {
+	c.sweep(unit) // the one before it may have ended since the last look
 	c.mu.Lock()
 	_, known := c.lives[pid]
 	c.lives[pid] = &seen{unit, version}
@@ -59,27 +60,30 @@
 		c.mu.Lock()
 		p := c.platform
 		c.mu.Unlock()
-		running := map[int]bool{}
 		for _, pid := range children(p.PID()) {
 			unit, version := environ(pid)
 			if unit == "" {
 				continue // between its fork and its program, or ended meanwhile
 			}
-			running[pid] = true
 			c.began(unit, pid, version)
 		}
-		c.mu.Lock()
-		var over []int
-		for pid := range c.lives {
-			if !running[pid] && !alive(pid) {
-				over = append(over, pid)
-			}
-		}
-		c.mu.Unlock()
-		for _, pid := range over {
-			c.ended(pid)
+		c.sweep("")
+	}
+}
+
+// sweep notes which processes of a unit have ended, of all where it is "".
+func (c *control) sweep(unit string) {
+	c.mu.Lock()
+	var over []int
+	for pid, s := range c.lives {
+		if (unit == "" || s.unit == unit) && !alive(pid) {
+			over = append(over, pid)
 		}
 	}
+	c.mu.Unlock()
+	for _, pid := range over {
+		c.ended(pid)
+	}
 }
 
 // children are the processes that one has started and that have not been waited for.
--- a/internal/lab/measure.go
+++ b/internal/lab/measure.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -285,13 +286,20 @@
 	mostLateSent = 0.005 // of the requests, sent too late to count
 )
 
-// overload takes back what a run says of sidecars when the lab's own machine could not play it.
+// overload takes back what a run says of sidecars when the lab's own machine could not play it. What the control plane
+// did is no matter of milliseconds and stands.
 func (r *Result) overload() {
 	sent := float64(r.Requests + r.LabLate)
 	if r.Lateness <= mostLateMS && float64(r.LabLate) <= mostLateSent*sent {
 		return
 	}
-	r.Overloaded, r.NotCounted, r.BrokenRules, r.Broken = true, r.BrokenRules, 0, nil
+	all := r.BrokenRules
+	r.BrokenRules = 0
+	for _, rule := range ControlRules {
+		r.BrokenRules += r.RuleCounts[rule]
+	}
+	r.Overloaded, r.NotCounted = true, all-r.BrokenRules
+	r.Broken = slices.DeleteFunc(r.Broken, func(b Broken) bool { return !slices.Contains(ControlRules, b.Rule) })
 }
 
 func quantile(h *hdrhistogram.Histogram, q float64) float64 {
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -40,10 +40,13 @@
 	row("latency", "p50 %.1f ms, p90 %.1f ms, p99 %.1f ms, p99.9 %.1f ms", r.P50, r.P90, r.P99, r.P999)
 	row("attempts at servers", "%.2f for each try; %d retries, %d new connections, %.1f%% to another zone",
 		float64(r.Attempts)/math.Max(float64(r.Tries), 1), r.Retries, r.Handshakes, 100*r.CrossShare)
-	if r.Overloaded {
+	switch {
+	case r.Overloaded && r.BrokenRules > 0:
+		row("rules broken", "%d%s by the control plane; sidecars are not judged, this machine cannot play the load", r.BrokenRules, ruleList(r, lab.ControlRules))
+	case r.Overloaded:
 		row("rules broken", "not judged: this machine cannot play the load, so nothing here tells of the sidecars")
-	} else {
-		row("rules broken", "%d%s", r.BrokenRules, ruleList(r))
+	default:
+		row("rules broken", "%d%s", r.BrokenRules, ruleList(r, lab.Rules))
 	}
 	if r.Mode == "run" {
 		row("lateness of the lab", "p99 %.1f ms, at most %.1f ms%s", r.Lateness, r.LatenessMax, tooLate(r))
@@ -82,9 +85,9 @@
 	return fmt.Sprintf("; %d requests left out, sent too late by the lab itself", r.LabLate)
 }
 
-func ruleList(r *lab.Result) string {
+func ruleList(r *lab.Result, of []lab.Rule) string {
 	var parts []string
-	for _, rule := range lab.Rules {
+	for _, rule := range of {
 		if n := r.RuleCounts[rule]; n > 0 {
 			parts = append(parts, fmt.Sprintf("%s %d", rule, n))
 		}
