--- a/internal/lab/control.go
+++ b/internal/lab/control.go
@@ -43,6 +43,7 @@
 	Args    []string `toml:"args"`
 	Config  string   `toml:"config"`
 	Ready   string   `toml:"ready"`   // what it logs once it is ready; "": msg=serves
+	AtS     float64  `toml:"at_s"`    // when it is started; 0: before the load
 	Reports bool     `toml:"reports"` // agents pass sidecars' reports on to it
 }
 
@@ -57,13 +58,15 @@
 	Target string   `toml:"target"`
 }
 
-// BudgetFile bounds what may be out of the units that it selects, for the rule "budget".
+// BudgetFile bounds what may be out of the units that it selects, for the rule "budget". The ledger is told of it before
+// the run.
 type BudgetFile struct {
 	Name string `toml:"name"`
 	Kind string `toml:"kind"` // "server" or "sidecar"
 	Zone string `toml:"zone"` // "": all
 	Of   string `toml:"of"`   // kind of servers; "": all
 	Most int    `toml:"most"`
+	Told *int   `toml:"told"` // what the ledger is told in place of Most, to try the judge
 }
 
 // HoursFile is a time in which a tenant may be kept off servers, for the rule "hours".
@@ -129,6 +132,7 @@
 			bad(at+"name", "%q is no plain name or stands twice", k.Name)
 		}
 		seen[k.Name] = true
+		inside(at+"at_s", k.AtS, 0, f.DurationS)
 		if len(k.Args) == 0 {
 			bad(at+"args", "a controller needs its command line")
 		}
@@ -231,6 +235,13 @@
 			bad(at+"of", "unknown kind %q", b.Of)
 		}
 		inside(at+"most", float64(b.Most), 0, maxServers)
+		if b.Told == nil {
+			b.Told = &b.Most
+		}
+		inside(at+"told", float64(*b.Told), 0, maxServers)
+		if !plainName(b.Name) {
+			bad(at+"name", "%q is no plain name", b.Name)
+		}
 	}
 	for i, h := range c.Hours {
 		if !(h.FromS >= 0 && h.ToS > h.FromS) || math.IsInf(h.ToS, 0) {
--- a/internal/lab/live/control.go
+++ b/internal/lab/live/control.go
@@ -13,8 +13,10 @@
 	"syscall"
 	"time"
 
+	"milldeck/internal/disruption"
 	"milldeck/internal/lab"
 	"milldeck/internal/lab/proc"
+	"milldeck/internal/registry"
 	"milldeck/internal/supervisor"
 )
 
@@ -52,13 +54,15 @@
 	beside  map[string]int // of sidecars by unit
 
 	mu     sync.Mutex
-	lives  map[int]*seen // by pid
-	broken error         // what the lab itself could not do
+	lives  map[int]*seen               // by pid
+	homes  map[string]registry.Sidecar // sidecars as they are registered
+	broken error                       // what the lab itself could not do
+	abort  func()                      // ends the run's load
 }
 
 func newControl(f *fleet) *control {
 	c := &control{
-		f: f, file: f.plan.File.Control, numbers: map[string]int{}, beside: map[string]int{}, lives: map[int]*seen{},
+		f: f, file: f.plan.File.Control, numbers: map[string]int{}, beside: map[string]int{}, lives: map[int]*seen{}, homes: map[string]registry.Sidecar{},
 	}
 	c.judge = lab.NewControlJudge(f.plan, f.judge)
 	c.ctx, c.quit = context.WithCancel(f.ctx)
@@ -105,6 +109,7 @@
 	}
 	c.around.Go(c.watchProcesses)
 	c.around.Go(c.watchSidecars)
+	c.around.Go(c.registerSidecars)
 	c.around.Go(c.watchList)
 	if err := c.startServers(ctx); err != nil {
 		return err
@@ -123,7 +128,13 @@
 	if err := c.startSidecars(ctx); err != nil {
 		return err
 	}
+	if err := c.budgets(ready); err != nil {
+		return err
+	}
 	for _, k := range c.controllers {
+		if k.file.AtS > 0 {
+			continue
+		}
 		if err := k.start(ctx); err != nil {
 			return err
 		}
@@ -131,6 +142,24 @@
 	return nil
 }
 
+// budgets tells the ledger what may be out.
+func (c *control) budgets(ctx context.Context) error {
+	for i := range c.file.Budgets {
+		b := &c.file.Budgets[i]
+		_, err := c.f.registry.client.Ledger(ctx, registry.Write{}, disruption.Op{
+			Kind: disruption.OpBudget, Owner: "operator/lab", Budget: &disruption.Budget{
+				Name:   b.Name,
+				Select: disruption.Selector{Kind: disruption.Kind(b.Kind), Zone: b.Zone, Model: b.Of},
+				MaxOut: disruption.Limit{Count: b.Told},
+			},
+		})
+		if err != nil {
+			return fmt.Errorf("budget %s: %w", b.Name, err)
+		}
+	}
+	return nil
+}
+
 // startPlatform writes the versions' file and starts the platform.
 func (c *control) startPlatform(ctx context.Context) error {
 	text, err := c.versions()
@@ -286,6 +315,9 @@
 	defer c.mu.Unlock()
 	if c.broken == nil {
 		c.broken = fmt.Errorf("the lab cannot play %s: %w", what, err)
+		if c.abort != nil {
+			c.abort()
+		}
 	}
 }
 
--- a/internal/lab/live/controllers.go
+++ b/internal/lab/live/controllers.go
@@ -108,6 +108,16 @@
 func (c *control) steps(ctx context.Context) {
 	var all sync.WaitGroup
 	defer all.Wait()
+	for _, k := range c.controllers {
+		if k.file.AtS == 0 {
+			continue
+		}
+		all.Go(func() {
+			if sleep(ctx, millis(1000*k.file.AtS-c.f.now())) {
+				c.trouble("controller "+k.file.Name, k.start(ctx))
+			}
+		})
+	}
 	for i := range c.file.Steps {
 		s := &c.file.Steps[i]
 		all.Go(func() {
--- a/internal/lab/live/observe.go
+++ b/internal/lab/live/observe.go
@@ -67,12 +67,13 @@
 	c   *control
 	ctx context.Context
 
-	mu    sync.Mutex
-	s     *server // nil before it has said who it is
-	pid   int
-	first bool
-	told  bool
-	calls map[int64]*fleetCall
+	mu      sync.Mutex
+	s       *server // nil before it has said who it is
+	pid     int
+	version string
+	first   bool
+	told    bool
+	calls   map[int64]*fleetCall
 }
 
 // Hello begins the life.
@@ -82,7 +83,7 @@
 		return fmt.Errorf("no server %q", h.Unit)
 	}
 	l.mu.Lock()
-	l.s, l.pid, l.first = l.c.f.servers[n], h.PID, l.c.f.zero.Load() == 0
+	l.s, l.pid, l.version, l.first = l.c.f.servers[n], h.PID, h.Version, l.c.f.zero.Load() == 0
 	l.mu.Unlock()
 	w.First = l.first
 	l.c.began(h.Unit, h.PID, h.Version)
@@ -122,7 +123,7 @@
 		return err
 	}
 	l.c.judge.Ready(l.c.now(), s.plan.UID, lifeName(l.pid), true)
-	l.c.came(s, l.first)
+	l.c.came(s, l.version, l.first)
 	return nil
 }
 
--- a/internal/lab/live/registry.go
+++ b/internal/lab/live/registry.go
@@ -100,7 +100,7 @@
 	t := l.f.entry(s, 0, ready)
 	return registry.Instance{
 		Target: registry.Target{UID: t.UID, Endpoint: t.Endpoint, Zone: t.Zone, Model: t.Model, Pod: t.Pod, State: t.State, Capacity: t.Capacity, BootMS: t.Boot},
-		TTLMS:  l.f.plan.File.Discovery.LeaseMS,
+		TTLMS:  l.f.plan.File.Discovery.LeaseMS, Version: s.version,
 	}
 }
 
--- a/internal/lab/live/server.go
+++ b/internal/lab/live/server.go
@@ -17,6 +17,8 @@
 	f     *fleet
 	ports []*port // by sidecar
 	boot  float64 // ms; 0: from the start
+	// version of its process, where a platform has started it
+	version string
 }
 
 func (f *fleet) newServer(n int) *server {
--- a/internal/lab/live/units.go
+++ b/internal/lab/live/units.go
@@ -53,13 +53,13 @@
 }
 
 // came lists a server whose process answers the platform's ready check; its first life in the run is warm.
-func (c *control) came(s *server, first bool) {
+func (c *control) came(s *server, version string, first bool) {
 	s.mu.Lock()
 	if s.up {
 		s.mu.Unlock()
 		return
 	}
-	s.up = true
+	s.up, s.version = true, version
 	s.life++
 	if !first {
 		s.boot = c.now()
