--- a/internal/lab/control.go
+++ b/internal/lab/control.go
@@ -37,7 +37,8 @@
 
 // ControllerFile is a process of the program that acts on the fleet. In Args and Config, {replicas} stands for the
 // addresses of the list service with commas between, {list} for the same as an array of TOML, {supervisor}, {listen} and
-// {name} for the platform's, its own address and its name, {dir} for a folder of its own and {config} for its file.
+// {name} for the platform's, its own address and its name, {at:NAME} for another one's address, {server:N} for a server's
+// name, {dir} for a folder of its own and {config} for its file.
 type ControllerFile struct {
 	Name    string   `toml:"name"`
 	Args    []string `toml:"args"`
--- a/internal/lab/live/controllers.go
+++ b/internal/lab/live/controllers.go
@@ -54,6 +54,9 @@
 	for _, k := range c.controllers {
 		pairs = append(pairs, "{at:"+k.file.Name+"}", k.addr)
 	}
+	for i := range c.f.plan.Servers {
+		pairs = append(pairs, fmt.Sprintf("{server:%d}", i), c.f.plan.Servers[i].UID)
+	}
 	return strings.NewReplacer(pairs...).Replace(text)
 }
 
--- a/internal/release/unit.go
+++ b/internal/release/unit.go
@@ -294,6 +294,9 @@
 	}
 	d, seen := c.v.Unit(u.ID)
 	switch {
+	case !seen && !known && c.s.Drain && !u.Back: // it left, and its permit ended, while nobody looked
+		c.to(u, Rest)
+		return
 	case !seen || d.Condition != disruption.Up && !(c.s.Drain && d.Condition == disruption.Lost):
 	case known:
 		c.ledger(disruption.OpSettle, u)
