--- a/internal/lab/clients.go
+++ b/internal/lab/clients.go
@@ -80,11 +80,7 @@
 
 // at is the rate at a time in requests a ms, and how much traffic has moved to which zone.
 func (p *Plan) at(now float64) (rate float64, zone int, part float64) {
-	n, start := 0, 0.0
-	for n < len(p.File.Phases)-1 && now >= start+1000*p.File.Phases[n].ForS {
-		start += 1000 * p.File.Phases[n].ForS
-		n++
-	}
+	n, start := p.phaseAt(now)
 	end := p.Duration
 	if n < len(p.File.Phases)-1 {
 		end = start + 1000*p.File.Phases[n].ForS
@@ -133,6 +129,9 @@
 		u := a.rng.Float64() * a.keys[len(a.keys)-1]
 		out.Key = hash(streamArrivals, uint64(sort.SearchFloat64s(a.keys, u))) | 1
 	}
+	if part, key := a.plan.hot(a.now); part > 0 && chance(a.plan.Seed, streamArrivals, a.n, key) < part {
+		out.Key = key
+	}
 	return out
 }
 
--- a/internal/lab/file.go
+++ b/internal/lab/file.go
@@ -174,13 +174,15 @@
 
 // PhaseFile is a stretch of load. The last one lasts to the end.
 type PhaseFile struct {
-	Kind string  `toml:"kind"` // "steady", "ramp" (to another rate), "burst" (times the rate), "shift" (to a zone)
+	Kind string  `toml:"kind"` // "steady", "ramp" (to another rate), "burst" (times the rate), "shift" (to a zone), "hot" (one key)
 	ForS float64 `toml:"for_s"`
 	Rate float64 `toml:"rate"` // requests a second over the fleet; 0: as before
 	To   float64 `toml:"to"`   // ramp: the rate at its end
 	By   float64 `toml:"by"`   // burst: factor
 	Zone string  `toml:"zone"` // shift: where the traffic goes
-	Part float64 `toml:"part"` // shift: part of the other zones' traffic that goes there at its end
+	Part float64 `toml:"part"` // shift: part of the other zones' traffic that goes there at its end; hot: of all requests
+
+	EveryS float64 `toml:"every_s"` // hot: after so long another key is hot; 0: one
 }
 
 // FaultFile is one fault. Which fields a kind wants is said at its entry in faultKinds.
@@ -482,6 +484,9 @@
 		sum += p.ForS
 		switch p.Kind {
 		case "steady":
+		case "hot":
+			inside(at+"part", p.Part, 0.001, 1)
+			inside(at+"every_s", p.EveryS, 0, maxDurationS)
 		case "ramp":
 			if p.To == 0 {
 				bad(at+"to", "a ramp needs the rate that it goes to")
@@ -494,7 +499,7 @@
 				bad(at+"zone", "unknown zone %q", p.Zone)
 			}
 		default:
-			bad(at+"kind", "%q is not steady, ramp, burst or shift", p.Kind)
+			bad(at+"kind", "%q is not steady, ramp, burst, shift or hot", p.Kind)
 		}
 	}
 	if sum > f.DurationS {
--- a/internal/lab/judge_control_test.go
+++ b/internal/lab/judge_control_test.go
@@ -247,3 +247,40 @@
 		}
 	}
 }
+
+// In a phase "hot" a part of the requests is for one key, which another takes the place of.
+func TestAHotKey(t *testing.T) {
+	text := strings.Replace(controlFile, "rate = 10\n", "rate = 200\nkind = \"hot\"\npart = 0.3\nevery_s = 20\n", 1)
+	text = strings.Replace(text, "[sidecars]\n", "[clients]\nkeys = 1000\n[sidecars]\n", 1)
+	f, err := Parse("hot.toml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	all := [3]int{}
+	counts := [3]map[uint64]int{{}, {}, {}}
+	arrivals := f.Draw(0).Arrivals()
+	for {
+		a, more := arrivals.Next()
+		if !more {
+			break
+		}
+		all[int(a.At/20000)]++
+		counts[int(a.At/20000)][a.Key]++
+	}
+	seen := map[uint64]bool{}
+	for i, keys := range counts {
+		hot := 0
+		for key, n := range keys {
+			if float64(n) > 0.2*float64(all[i]) {
+				hot++
+				seen[key] = true
+			}
+		}
+		if hot != 1 {
+			t.Errorf("%d keys are hot in part %d", hot, i)
+		}
+	}
+	if len(seen) != 3 {
+		t.Errorf("%d keys were hot in turn", len(seen))
+	}
+}
