--- a/internal/lab/hot.go
+++ b/internal/lab/hot.go
@@ -25,3 +25,6 @@
 	}
 	return n, start
 }
+
+// Key is the n-th of the keys that clients draw.
+func (p *Plan) Key(n int) uint64 { return hash(streamArrivals, uint64(n)) | 1 }
--- a/internal/lab/judge_control.go
+++ b/internal/lab/judge_control.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 )
@@ -14,15 +15,20 @@
 // out where it was told to end or the list calls it draining, and it failed where a fault of the lab's or its own end
 // came first. Only what is taken out can break a budget: what fails counts against it once it may be known.
 type ControlJudge struct {
-	j     *Judge
-	plan  *Plan
-	file  *ControlFile
-	units map[string]*controlled
-	kept  map[int]map[keptOff]span // by sidecar: what it keeps off, since when and until when
-	cold  [spreadParts]struct {
-		slot      int
-		all, cold float64
+	j      *Judge
+	plan   *Plan
+	file   *ControlFile
+	units  map[string]*controlled
+	kept   map[int]map[keptOff]span // by sidecar: what it keeps off, since when and until when
+	copies map[int][]Copied         // by sidecar
+	copied map[Copied]int           // how many sidecars are told of each
+	cold   [spreadParts]struct {
+		slot int
+		work float64
 	}
+	coldest float64
+	warned  float64 // when the rule on it was broken last; before the run at the start
+	bears   float64 // work that all servers do in a second, ms
 	excuses []excuse
 }
 
@@ -72,10 +78,11 @@
 
 // NewControlJudge makes the judge of a run's control plane; what it finds is part of j's verdict.
 func NewControlJudge(p *Plan, j *Judge) *ControlJudge {
-	c := &ControlJudge{j: j, plan: p, file: p.File.Control, units: map[string]*controlled{}, kept: map[int]map[keptOff]span{}}
+	c := &ControlJudge{j: j, plan: p, file: p.File.Control, units: map[string]*controlled{}, kept: map[int]map[keptOff]span{}, copies: map[int][]Copied{}, copied: map[Copied]int{}, warned: math.Inf(-1)}
 	wants := func(version string) EndFile { return EndFile{Version: version} }
 	for i := range p.Servers {
 		s := &p.Servers[i]
+		c.bears += 1000 * float64(s.Kind.Cores) * s.Speed
 		c.units[s.UID] = &controlled{
 			name: s.UID, kind: "server", zone: p.File.Zones[s.Zone], of: s.Kind.Kind, lives: map[string]*life{}, out: true,
 			wants: wants(c.file.ServerVersion),
--- a/internal/lab/live/control.go
+++ b/internal/lab/live/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"os"
 	"path/filepath"
@@ -131,6 +132,7 @@
 	if err := c.budgets(ready); err != nil {
 		return err
 	}
+	c.around.Go(c.findWarm)
 	for _, k := range c.controllers {
 		if k.file.AtS > 0 {
 			continue
@@ -207,6 +209,9 @@
 func (c *control) finish() {
 	c.judge.Finish(c.now())
 	c.over.Store(true)
+	if c.file.Spread.WindowS > 0 {
+		slog.Info("cold work of copies", "of_its_budget", c.judge.Coldest())
+	}
 }
 
 // stop ends controllers, and then all that the platform has started.
--- a/internal/lab/live/observe.go
+++ b/internal/lab/live/observe.go
@@ -223,7 +223,7 @@
 	}
 	at := l.c.f.ms(time.Unix(0, r.At))
 	l.c.f.judge.Ran(at, r.Request, s.n, r.Effect)
-	l.c.judge.Worked(at, r.Work, !r.Met)
+	l.c.judge.Worked(at, s.plan.UID, keyHash(r.Key), r.Work, !r.Met)
 	return nil
 }
 
--- a/internal/lab/live/units.go
+++ b/internal/lab/live/units.go
@@ -3,7 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"strings"
+	"time"
+
+	"milldeck/internal/disruption"
+	"milldeck/internal/registry"
 )
 
 // serverFile is the configuration of a server's process.
@@ -84,3 +89,39 @@
 		c.f.registry.keeper.Drop(s.plan.UID)
 	}
 }
+
+// findWarm tells the ledger of servers that have warmed up after a start: who operates servers sees that, the list does
+// not. A unit that has changed since it was looked at is left alone.
+func (c *control) findWarm() {
+	client := c.f.registry.client
+	for sleep(c.ctx, time.Second) && !c.over.Load() {
+		ctx, cancel := context.WithTimeout(c.ctx, writeWait)
+		v, err := client.LedgerView(ctx, true, true)
+		var warm []disruption.Unit
+		for i := range v.Units {
+			u := &v.Units[i]
+			if n, mine := c.numbers[uid(u.ID)]; mine && u.Condition == disruption.Cold && c.isWarm(c.f.servers[n]) {
+				warm = append(warm, disruption.Unit{ID: u.ID, Condition: disruption.Up, Rev: u.Rev})
+			}
+		}
+		if err == nil && len(warm) > 0 {
+			_, err = client.Ledger(ctx, registry.Write{}, disruption.Op{Kind: disruption.OpSee, Owner: "operator/lab", Seen: warm})
+		}
+		if err != nil && c.ctx.Err() == nil {
+			slog.Debug("not seen as warm", "units", len(warm), "error", err)
+		}
+		cancel()
+	}
+}
+
+// uid is the name of a unit of the ledger.
+func uid(id string) string {
+	_, name, _ := strings.Cut(id, "/")
+	return name
+}
+
+func (c *control) isWarm(s *server) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.up && c.now() >= s.boot+s.plan.ColdMS
+}
--- /dev/null
+++ b/internal/lab/live/watch_placement.go
@@ -0,0 +1,64 @@
+package live
+
+import (
+	"fmt"
+	"hash/fnv"
+	"strconv"
+	"time"
+
+	"milldeck/internal/lab"
+	"milldeck/internal/placement"
+)
+
+// watchPlacement follows what an agent tells its sidecar beyond the list.
+func (c *control) watchPlacement(a *agent) {
+	began := time.Now()
+	reader := placement.NewReader()
+	for c.ctx.Err() == nil {
+		err := c.f.registry.client.WatchPlacement(c.ctx, a.addr(), reader.Rev(), reader.Epoch(), func(list *placement.List, _ time.Duration) error {
+			if list == nil || c.over.Load() {
+				return nil
+			}
+			now := time.Now()
+			if _, err := reader.Take(list, now.UnixMilli(), now.Sub(began).Milliseconds()); err != nil {
+				return err
+			}
+			c.placed(a.n, reader, now, now.Sub(began).Milliseconds())
+			return nil
+		})
+		if err != nil {
+			sleep(c.ctx, healthPoll)
+		}
+	}
+}
+
+// placed tells the judge which servers a sidecar is told to keep off, and where keys have copies.
+func (c *control) placed(sidecar int, r *placement.Reader, wall time.Time, mono int64) {
+	var kept []lab.Kept
+	var copies []lab.Copied
+	for _, e := range r.At(wall.UnixMilli(), mono).Entries {
+		switch e.Kind {
+		case placement.KeepOff:
+			for _, s := range e.Servers {
+				kept = append(kept, lab.Kept{Tenant: e.Tenant, Server: s, Until: c.now() + float64(e.LeftMS)})
+			}
+		case placement.Spread:
+			key, err := strconv.ParseUint(e.Key, 16, 64)
+			if err != nil {
+				continue // the reader takes none such
+			}
+			for _, s := range e.Copies {
+				copies = append(copies, lab.Copied{Key: key, Server: s.UID})
+			}
+		}
+	}
+	c.judge.Placed(c.now(), sidecar, kept)
+	c.judge.Copies(sidecar, copies)
+}
+
+// keyHash is a key of the lab's as sidecars hash it and the placement names it.
+func keyHash(key uint64) uint64 {
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%016x", key)
+	return h.Sum64()
+}
