--- a/internal/lab/control.go
+++ b/internal/lab/control.go
@@ -14,7 +14,6 @@
 	ServerVersion  string           `toml:"server_version"`  // on which servers start
 	SidecarVersion string           `toml:"sidecar_version"` // on which sidecars start
 	SightMS        float64          `toml:"sight_ms"`        // how long what fails by itself may be unknown to controllers
-	ColdOut        bool             `toml:"cold_out"`        // a server counts as out until it is warm
 	Mixed          bool             `toml:"mixed"`           // units of one kind may end on several versions
 	Versions       []VersionFile    `toml:"version"`
 	Controllers    []ControllerFile `toml:"controller"`
