--- a/internal/lab/judge_control.go
+++ b/internal/lab/judge_control.go
@@ -26,10 +26,11 @@
 		slot int
 		work float64
 	}
-	coldest float64
-	warned  float64 // when the rule on it was broken last; before the run at the start
-	bears   float64 // work that all servers do in a second, ms
-	excuses []excuse
+	keepings int
+	coldest  float64
+	warned   float64 // when the rule on it was broken last; before the run at the start
+	bears    float64 // work that all servers do in a second, ms
+	excuses  []excuse
 }
 
 // controlled is a unit as the judge sees it.
--- a/internal/lab/judge_told.go
+++ b/internal/lab/judge_told.go
@@ -18,6 +18,11 @@
 	c.j.mu.Lock()
 	defer c.j.mu.Unlock()
 	old := c.kept[sidecar]
+	for _, k := range kept {
+		if _, had := old[keptOff{k.Tenant, k.Server}]; !had {
+			c.keepings++
+		}
+	}
 	next := map[keptOff]span{}
 	for _, k := range kept {
 		key := keptOff{k.Tenant, k.Server}
@@ -120,3 +125,10 @@
 	}
 	return 0
 }
+
+// Keepings is how often a sidecar was told to begin to keep off a server.
+func (c *ControlJudge) Keepings() int {
+	c.j.mu.Lock()
+	defer c.j.mu.Unlock()
+	return c.keepings
+}
--- a/internal/lab/live/control.go
+++ b/internal/lab/live/control.go
@@ -209,9 +209,7 @@
 func (c *control) finish() {
 	c.judge.Finish(c.now())
 	c.over.Store(true)
-	if c.file.Spread.WindowS > 0 {
-		slog.Info("cold work of copies", "of_its_budget", c.judge.Coldest())
-	}
+	slog.Info("sidecars were told", "to_keep_off", c.judge.Keepings(), "cold_work_of_budget", c.judge.Coldest())
 }
 
 // stop ends controllers, and then all that the platform has started.
