--- a/internal/sidecar/inforce.go
+++ b/internal/sidecar/inforce.go
@@ -188,8 +188,11 @@
 		}
 	}
 	for _, e := range f.entries {
-		if e.off != nil {
+		switch {
+		case e.off != nil:
 			r.Open[e.ID] = l.openAt(&e)
+		case e.Kind == placement.KeepOff: // of no tenant here: in force all the same, which who waits for it has to know
+			r.Open[e.ID] = 0
 		}
 	}
 	if len(r.Open) > placement.MaxOpen { // too many to be told: none told means none open
