--- a/internal/lab/judge_control_test.go
+++ b/internal/lab/judge_control_test.go
@@ -1,6 +1,8 @@
 package lab
 
 import (
+	"fmt"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -237,6 +239,28 @@
 	}
 }
 
+// fault is an entry of a file.
+func fault(kind, target, more string) string {
+	return fmt.Sprintf("[[fault]]\nkind = %q\ntarget = %q\nat_s = 1\n%s\n", kind, target, more)
+}
+
+// What a fault names in the control plane is drawn into the plan.
+func TestFaultsOfTheControlPlane(t *testing.T) {
+	text := controlFile + fault("kill", "leader", "for_s = 2") + fault("freeze", "agent:1", "for_s = 1") +
+		fault("kill", "controllers", "") + fault("cut", "replica:2", "for_s = 1") + fault("kill", "supervisor", "")
+	text = strings.Replace(text, "[control.spread]", "[[control.controller]]\nname = \"x\"\nargs = [\"y\"]\n[control.spread]", 1)
+	f, err := Parse("control.toml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := f.Draw(0)
+	all := p.Faults
+	if len(all) != 5 || !all[0].Leader || !slices.Equal(all[1].Agents, []int{1}) || !slices.Equal(all[2].Controllers, []string{"x"}) ||
+		!slices.Equal(all[3].Replicas, []int{2}) || !all[4].Supervisor || !p.CutsReplicas() {
+		t.Errorf("%+v", all)
+	}
+}
+
 func TestControlFilesAreRefusedWithTheirKey(t *testing.T) {
 	for _, c := range []struct{ old, text, want string }{
 		{`source = "registry"`, `source = "lab"`, "control"},
@@ -245,8 +269,19 @@
 		{`target = "server:3"`, `target = "server:9"`, "control.end[0].target"},
 		{`to_s = 20`, `to_s = 5`, "control.hours[0].to_s"},
 		{`window_s = 1`, `windows = 1`, "unknown key"},
+		{"", fault("kill", "replica:3", ""), "numbers go from 0 to 2"},
+		{"", fault("kill", "controller:none", ""), "unknown target"},
+		{"", fault("freeze", "server:0", "for_s = 1"), "cannot befall"},
+		{"", fault("silent", "server:0", "for_s = 1"), "is not played with the control plane"},
+		{"", fault("cut", "agent:0", "for_s = 1"), "only replicas can be cut off"},
+		{"", fault("platform", "", `what = "sulk"`), "fault[0].what"},
+		{"", fault("clock", "leader", "ms = 10"), "unknown fault"},
 	} {
-		_, err := Parse("control.toml", []byte(strings.Replace(controlFile, c.old, c.text, 1)))
+		text := controlFile + c.text
+		if c.old != "" {
+			text = strings.Replace(controlFile, c.old, c.text, 1)
+		}
+		_, err := Parse("control.toml", []byte(text))
 		if err == nil || !strings.Contains(err.Error(), c.want) {
 			t.Errorf("%s: %v", c.text, err)
 		}
