--- a/internal/lab/file.go
+++ b/internal/lab/file.go
@@ -61,6 +61,7 @@
 	Classes   []ClassFile   `toml:"class"`
 	Phases    []PhaseFile   `toml:"phase"`
 	Faults    []FaultFile   `toml:"fault"`
+	Control   *ControlFile  `toml:"control"` // nil: there is no control plane
 }
 
 // NetworkFile holds one-way delays.
@@ -173,13 +174,15 @@
 
 // PhaseFile is a stretch of load. The last one lasts to the end.
 type PhaseFile struct {
-	Kind string  `toml:"kind"` // "steady", "ramp" (to another rate), "burst" (times the rate), "shift" (to a zone)
+	Kind string  `toml:"kind"` // "steady", "ramp" (to another rate), "burst" (times the rate), "shift" (to a zone), "hot" (one key)
 	ForS float64 `toml:"for_s"`
 	Rate float64 `toml:"rate"` // requests a second over the fleet; 0: as before
 	To   float64 `toml:"to"`   // ramp: the rate at its end
 	By   float64 `toml:"by"`   // burst: factor
 	Zone string  `toml:"zone"` // shift: where the traffic goes
-	Part float64 `toml:"part"` // shift: part of the other zones' traffic that goes there at its end
+	Part float64 `toml:"part"` // shift: part of the other zones' traffic that goes there at its end; hot: of all requests
+
+	EveryS float64 `toml:"every_s"` // hot: after so long another key is hot; 0: one
 }
 
 // FaultFile is one fault. Which fields a kind wants is said at its entry in faultKinds.
@@ -196,6 +199,9 @@
 	MS        float64  `toml:"ms"`
 	Steps     int      `toml:"steps"`
 	Reuse     bool     `toml:"reuse"` // roll: new servers take the addresses of those that went
+	What      string   `toml:"what"`  // platform: what it does
+	On        string   `toml:"on"`    // platform: the calls that it is about, "do" or "list"; "": both
+	Count     int      `toml:"count"` // platform: how many calls; 0: all for ForS, or one
 }
 
 // Load reads an experiment. Errors name file, line and key.
@@ -309,6 +315,7 @@
 	f.checkServers(bad, inside, within)
 	f.checkClasses(bad, inside, within)
 	f.checkPhases(bad, inside)
+	f.checkControl(bad, inside)
 	for i := range f.Faults {
 		f.Faults[i].check(f, fmt.Sprintf("fault[%d]", i), bad)
 	}
@@ -318,6 +325,31 @@
 	return nil
 }
 
+// CheckServer is the part of an experiment's check that is about servers, for one kind in a file of its own, under the
+// key "kind", with its classes.
+func (f *File) CheckServer(c *conf.File) error {
+	var first error
+	bad := func(key, format string, args ...any) {
+		if first == nil {
+			first = c.Errorf(strings.Replace(key, "server[0]", "kind", 1), format, args...)
+		}
+	}
+	inside := func(key string, v, least, most float64) {
+		if !(v >= least && v <= most) {
+			bad(key, "%v is not within %v to %v", v, least, most)
+		}
+	}
+	f.checkServers(bad, inside, func(key string, r Range, least, most float64) {
+		inside(key, r.Least, least, most)
+		inside(key, r.Most, least, most)
+	})
+	f.checkClasses(bad, inside, func(key string, r Range, least, most float64) {
+		inside(key, r.Least, least, most)
+		inside(key, r.Most, least, most)
+	})
+	return first
+}
+
 type badFunc func(key, format string, args ...any)
 
 func (f *File) checkZones(bad badFunc) {
@@ -452,6 +484,9 @@
 		sum += p.ForS
 		switch p.Kind {
 		case "steady":
+		case "hot":
+			inside(at+"part", p.Part, 0.001, 1)
+			inside(at+"every_s", p.EveryS, 0, maxDurationS)
 		case "ramp":
 			if p.To == 0 {
 				bad(at+"to", "a ramp needs the rate that it goes to")
@@ -464,7 +499,7 @@
 				bad(at+"zone", "unknown zone %q", p.Zone)
 			}
 		default:
-			bad(at+"kind", "%q is not steady, ramp, burst or shift", p.Kind)
+			bad(at+"kind", "%q is not steady, ramp, burst, shift or hot", p.Kind)
 		}
 	}
 	if sum > f.DurationS {
