--- a/internal/lab/sim/spread.go
+++ b/internal/lab/sim/spread.go
@@ -24,7 +24,7 @@
 // spreader is what stands between sidecars and the decider of spread keys: reports, the placement and its ways.
 type spreader struct {
 	e     *engine
-	file  *lab.SpreadFile
+	file  *lab.SpreaderFile
 	cfg   spread.Config
 	judge *lab.SpreadJudge
 	rng   *rand.Rand // of reports and placement: it moves no other chance
--- a/internal/lab/spread.go
+++ b/internal/lab/spread.go
@@ -1,8 +1,8 @@
 package lab
 
-// SpreadFile has `lab sim` play the spreader of hot keys beside the sidecars, and be judged by what its copies cost.
+// SpreaderFile has `lab sim` play the spreader of hot keys beside the sidecars, and be judged by what its copies cost.
 // What is left out has the default that defaults gives; loads are ms of work a second.
-type SpreadFile struct {
+type SpreaderFile struct {
 	On     bool `toml:"on"`     // it decides; else only figures are taken
 	Oracle bool `toml:"oracle"` // in its place: all servers always know the hot keys, which go to any of them
 
--- a/internal/spread/widen.go
+++ b/internal/spread/widen.go
@@ -35,11 +35,11 @@
 	}
 	// gain is what a further copy takes off the key's servers, of what is too much for them.
 	gain := func(w *want) float64 {
-		if len(w.k.copies) >= placement.MaxCopies || w.have >= w.k.need || w.k.count(Warming) >= max(d.cfg.Warmers, w.k.count(Carrying)/2) {
+		if len(w.k.copies) >= placement.MaxCopies || w.have >= w.k.need || w.k.count(Warming) >= max(d.cfg.Warmers, w.k.count(Carrying)) {
 			return 0
 		}
 		if w.k.keep > w.have {
-			if w.k.count(Warming) >= max(d.cfg.Warmers/2, 1) { // what leaves still carries, and is not to lose its part at once
+			if w.k.count(Warming) >= max(d.cfg.Warmers/3, 1) { // what leaves still carries, and is not to lose its part at once
 				return 0
 			}
 			return math.Inf(1)
