--- a/internal/release/kill_test.go
+++ b/internal/release/kill_test.go
@@ -22,6 +22,27 @@
 max_out = { count = 2 }
 `
 
+const sidecarPlan = `name = "r"
+on_halt = "back"
+deadline_s = 3600
+[what]
+sidecar = "2"
+sidecar_config = "c2"
+[[wave]]
+bake_s = 2
+`
+
+const reloadPlan = `name = "r"
+on_halt = "back"
+deadline_s = 3600
+[what]
+sidecar_config = "c2"
+[[wave]]
+count = 1
+bake_s = 2
+[[wave]]
+`
+
 // scenario is a release that controllers are killed in.
 type scenario struct {
 	name   string
@@ -38,25 +59,10 @@
 	{name: "servers", kind: disruption.Server, plan: serverPlan, want: Done, image: Image{"2", "c1"}, launch: 1},
 	{name: "servers back, some of them out", kind: disruption.Server, plan: serverPlan, back: 62, want: Backed, image: Image{"1", "c1"}, launch: 1},
 	{name: "servers back", kind: disruption.Server, plan: serverPlan, back: 82, want: Backed, image: Image{"1", "c1"}, launch: 1},
-	{name: "sidecars", kind: disruption.Sidecar, plan: `name = "r"
-on_halt = "back"
-deadline_s = 3600
-[what]
-sidecar = "2"
-sidecar_config = "c2"
-[[wave]]
-bake_s = 2
-`, want: Done, image: Image{"2", "c2"}, launch: 1},
-	{name: "configuration", kind: disruption.Sidecar, plan: `name = "r"
-on_halt = "back"
-deadline_s = 3600
-[what]
-sidecar_config = "c2"
-[[wave]]
-count = 1
-bake_s = 2
-[[wave]]
-`, want: Done, image: Image{"1", "c2"}},
+	{name: "sidecars", kind: disruption.Sidecar, plan: sidecarPlan, want: Done, image: Image{"2", "c2"}, launch: 1},
+	{name: "configuration", kind: disruption.Sidecar, plan: reloadPlan, want: Done, image: Image{"1", "c2"}},
+	{name: "sidecars back", kind: disruption.Sidecar, plan: sidecarPlan, back: 35, want: Backed, image: Image{"1", "c1"}, launch: 1},
+	{name: "configuration back", kind: disruption.Sidecar, plan: reloadPlan, back: 30, want: Backed, image: Image{"1", "c1"}},
 	{name: "drain", kind: disruption.Server, drain: true, want: Done},
 }
 
