--- a/balance/affinity.go
+++ b/balance/affinity.go
@@ -21,9 +21,7 @@
 // come in (bounded load).
 func (b *Balancer) shard(key uint64) []*server {
 	count := b.choice()
-	most := count / keyFleet
-	n := max(keyServers, most, int(math.Ceil(b.keys.share(key)*float64(count)/keyPart)))
-	n = min(n, count)
+	n := min(max(keyServers, count/keyFleet, b.width(key, count)), count)
 	b.entered = b.entered[:0]
 	order, next := b.order(key, n), 0
 	next = b.collect(order, next, n)
@@ -54,6 +52,11 @@
 	}
 }
 
+// width is over how many of count servers a sidecar has a key by what it meets itself.
+func (b *Balancer) width(key uint64, count int) int {
+	return int(math.Ceil(b.keys.share(key) * float64(count) / keyPart))
+}
+
 // choice is how many servers a first pick by key chooses from.
 func (b *Balancer) choice() int {
 	if b.allRest {
--- a/balance/placement.go
+++ b/balance/placement.go
@@ -130,7 +130,8 @@
 	}
 }
 
-// copyInTurn takes the key on to its next turn and returns the copy that has it by the shares.
+// copyInTurn takes the key on to its next turn and returns the copy that has it by the shares. A sidecar that
+// has the key on more servers than these by what it meets itself goes by that: copies would narrow it.
 func (b *Balancer) copyInTurn(key uint64) *server {
 	if b.inForce == nil || len(b.inForce.spreads) == 0 {
 		return nil
@@ -139,6 +140,10 @@
 	if k == nil {
 		return nil
 	}
+	count := b.choice()
+	if b.width(key, count) > max(keyServers, count/keyFleet)+len(k.copies) {
+		return nil
+	}
 	k.at = math.Mod(k.at+spreadStep, 1)
 	upTo := 0.0
 	for _, c := range k.copies {
