Registry: answers between replicas that are too old prove no leadership

A leader that was frozen and went on answered reads as fresh that were out of date (TestFrozenLeaderServesNothingFresh, 2 of 8 runs on a busy machine): the answer to a heartbeat of before the freeze was read after it, and counted as the proof of reads, and of renewals of duties, that were asked for meanwhile. Who has answered a heartbeat elects nobody else for its time, so an answer proves something only within it.

--- a/internal/registry/raft.go
+++ b/internal/registry/raft.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -163,7 +164,53 @@
 
 func (l *layer) Dial(to raft.ServerAddress, wait time.Duration) (net.Conn, error) {
 	d := net.Dialer{Timeout: min(wait, dialWait), LocalAddr: &net.TCPAddr{IP: l.own}}
-	return d.Dial("tcp", string(to))
+	c, err := d.Dial("tcp", string(to))
+	if err != nil {
+		return nil, err
+	}
+	return &prompt{Conn: c, within: answerWithin}, nil
+}
+
+const (
+	// answerWithin is how old an answer of another replica may be. Who answered a heartbeat elects nobody else for the
+	// time of the heartbeat; an answer that is read later, as after this process was frozen or a link cut, proves no
+	// leadership of now. Raft would take it as the proof of a read that was asked for meanwhile, and a deposed leader
+	// would answer what is out of date as fresh.
+	answerWithin = heartbeat - 50*time.Millisecond
+	// smallAsk is the most bytes of a question that is answered at once: heartbeats are far under it, batches of the
+	// log and snapshots, which take the other side's disk its time, are not.
+	smallAsk = 1 << 10
+)
+
+var errLateAnswer = errors.New("the answer is too old to count")
+
+// prompt is a connection to another replica on which answers count while they are young alone.
+type prompt struct {
+	net.Conn
+	within time.Duration
+
+	mu    sync.Mutex
+	asked time.Time // when the last bytes were written
+	size  int       // how many, since the last answer
+}
+
+func (p *prompt) Write(b []byte) (int, error) {
+	p.mu.Lock()
+	p.asked = time.Now()
+	p.size += len(b)
+	p.mu.Unlock()
+	return p.Conn.Write(b)
+}
+
+func (p *prompt) Read(b []byte) (int, error) {
+	n, err := p.Conn.Read(b)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n > 0 && p.size <= smallAsk && time.Since(p.asked) > p.within {
+		return 0, errLateAnswer
+	}
+	p.size = 0
+	return n, err
 }
 
 // fsm is the replica as raft drives it.
