--- a/internal/window/ledger.go
+++ b/internal/window/ledger.go
@@ -66,9 +66,12 @@
 	return op
 }
 
+// BudgetName names the ledger's budget that goes with a tenant's contract.
+func BudgetName(tenant string) string { return "contract/" + tenant }
+
 // BudgetOf is the ledger's budget that goes with a contract: it counts what is out for whatever reason, windows or not.
 func BudgetOf(c *contract.Contract) *disruption.Budget {
 	share := 1 - c.LeastShare
-	return &disruption.Budget{Name: "contract/" + c.Tenant, MaxOut: disruption.Limit{Share: &share},
+	return &disruption.Budget{Name: BudgetName(c.Tenant), MaxOut: disruption.Limit{Share: &share},
 		Select: disruption.Selector{Kind: disruption.Server, Tenant: c.Tenant}}
 }
