--- a/internal/registry/record.go
+++ b/internal/registry/record.go
@@ -118,6 +118,7 @@
 	OpRelease    Op = "release"    // Release; a step of it under its owner's Guard
 	OpLedger     Op = "ledger"     // Ledger, under its owner's Guard
 	OpSidecars   Op = "sidecars"   // Sidecars are registered; Refs: what State says became of others
+	OpWindow     Op = "window"     // Window, a step of its under the controller's Guard
 	OpFollow     Op = "follow"     // Instances and Refs: set and removed unchecked, by an agent that follows a registry
 )
 
@@ -144,6 +145,7 @@
 	Release   *release.Op    `json:"release,omitempty"`
 	Ledger    *disruption.Op `json:"ledger,omitempty"`
 	Sidecars  []Sidecar      `json:"sidecars,omitempty"`
+	Window    *WindowRecord  `json:"window,omitempty"`
 }
 
 // recordVersion is the first byte of a record; a newer one is refused, an older one read.
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -15,6 +15,7 @@
 	"milldeck/internal/duty/table"
 	"milldeck/internal/placement"
 	"milldeck/internal/release"
+	"milldeck/internal/window"
 )
 
 // Bounds of what the state keeps.
@@ -62,13 +63,16 @@
 	duties    *table.Table
 	places    *placement.Table
 	releases  *release.Table
+	windows   *window.Table
 	ledger    *ledger // nil until the first record about it
 }
 
 // NewState is the empty state.
 func NewState() *State {
-	return &State{instances: map[string]*Instance{}, writes: map[string]Result{}, duties: table.New(), places: placement.New(),
+	s := &State{instances: map[string]*Instance{}, writes: map[string]Result{}, duties: table.New(), places: placement.New(),
 		releases: release.NewTable()}
+	s.keepWindows(window.New())
+	return s
 }
 
 // Rev is the revision of the list.
@@ -128,6 +132,8 @@
 		return s.doPlacement(index, r)
 	case OpRelease:
 		return s.doRelease(index, r)
+	case OpWindow:
+		return s.doWindow(index, r)
 	case OpLedger:
 		return s.doLedger(index, r)
 	case OpSidecars:
@@ -341,13 +347,14 @@
 	Placement *placement.Saved  `json:"placement,omitempty"`
 	Releases  *release.Saved    `json:"releases,omitempty"`
 	Ledger    *savedLedger      `json:"ledger,omitempty"`
+	Windows   *window.Saved     `json:"windows,omitempty"`
 }
 
 // Snapshot writes the state. History is left out: watches that come back after a restore get the whole list.
 func (s *State) Snapshot(w io.Writer) error {
 	snap := snapshot{Rev: s.rev, Applied: s.applied, Epoch: s.epoch, Instances: []*Instance{}, Writes: s.writes, Order: s.order,
 		Duties: s.duties.Save(), Placement: s.places.Save(), Releases: s.releases.Save()}
-	snap.Ledger = s.ledger.save()
+	snap.Ledger, snap.Windows = s.ledger.save(), s.windows.Save()
 	for _, uid := range slices.Sorted(maps.Keys(s.instances)) {
 		snap.Instances = append(snap.Instances, s.instances[uid])
 	}
@@ -403,6 +410,7 @@
 	s.duties = table.Load(snap.Duties)
 	s.places = placement.Load(snap.Placement, snap.Epoch)
 	s.releases = release.Load(snap.Releases)
+	s.keepWindows(loadWindows(snap.Windows))
 	if s.ledger, err = loadLedger(snap.Ledger); err != nil {
 		return nil, err
 	}
