--- a/internal/registry/window.go
+++ b/internal/registry/window.go
@@ -76,7 +76,7 @@
 
 // budgetOf has the ledger bound what is out of a contract's servers, for whatever reason.
 func (s *State) budgetOf(index uint64, op *window.Op) string {
-	in := &disruption.Op{Kind: disruption.OpBudget}
+	in := &disruption.Op{Kind: disruption.OpBudget, Owner: "operator/contract"} // only operators set contracts
 	switch op.Kind {
 	case window.OpContract:
 		in.Budget = window.BudgetOf(op.Contract)
