--- a/cmd/milldeck/spread.go
+++ b/cmd/milldeck/spread.go
@@ -3,12 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
-	"log/slog"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"text/tabwriter"
 	"time"
@@ -76,48 +72,11 @@
 }
 
 func serveSpread(ctx context.Context, listen string, client *registry.Client, dr *spread.Driver, reports http.Handler) error {
-	l, err := net.Listen("tcp", listen)
-	if err != nil {
-		return err
-	}
 	mux := http.NewServeMux()
 	mux.Handle("/reports", reports)
 	mux.Handle("/spread", dr.Handler())
 	mux.Handle("/spread/", dr.Handler())
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: spreadWait, WriteTimeout: 2 * spreadWait, IdleTimeout: time.Minute}
-	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(l) }()
-	ctx, stop := context.WithCancelCause(ctx)
-	defer stop(nil)
-	over := make(chan error, 1)
-	go func() {
-		for {
-			err := duty.Run(ctx, client, spread.Duty, duty.Options{Events: func(e duty.Event) {
-				if e.What != "renewed" {
-					slog.Info("duty", "what", e.What, "duty", e.Duty, "token", e.Token)
-				}
-			}}, dr.Work)
-			if ctx.Err() != nil {
-				over <- nil
-				return
-			}
-			slog.Warn("no part in the duty", "error", err)
-			select {
-			case <-ctx.Done():
-			case <-time.After(time.Second/2 + rand.N(time.Second)):
-			}
-		}
-	}()
-	slog.Info("serves", "listen", l.Addr().String())
-	select {
-	case err = <-failed:
-		stop(err)
-	case <-ctx.Done():
-	}
-	<-over
-	down, done := context.WithTimeout(context.WithoutCancel(ctx), spreadWait)
-	defer done()
-	return errors.Join(err, server.Shutdown(down))
+	return serveDuty(ctx, listen, mux, client, spread.Duty, duty.DefaultTTL, dr.Work)
 }
 
 func newSpreadShow() *cobra.Command {
--- a/cmd/milldeck/window.go
+++ b/cmd/milldeck/window.go
@@ -18,12 +18,14 @@
 	c := &cobra.Command{
 		Use:   "window",
 		Short: "Maintenance windows by contract",
-		Long: "window tells when servers may be freed for maintenance. docs/window.md tells what is promised.\n\n" +
+		Long: "window frees servers for maintenance in the hours that contracts approve. docs/window.md tells what is promised.\n\n" +
 			exitHelp,
 		Args: exactly(0),
 		RunE: func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
-	c.AddCommand(newWindowPlan())
+	c.AddCommand(newWindowPlan(), newWindowPropose(), newWindowList(), newWindowShow(), newWindowCancel(), newWindowFinish(),
+		newWindowHold(window.OpHalt, "Halts a window, a tenant's windows or all: nothing more goes out", "halted"),
+		newWindowHold(window.OpResume, "Has halted windows go on", "resumed"), newWindowServe())
 	return c
 }
 
@@ -55,7 +57,7 @@
 			if err != nil {
 				return usageError{fmt.Errorf("--at: %w", err)}
 			}
-			w, after, work, err := loadWish(args[0])
+			w, after, work, err := loadWish(args[0], true)
 			if err != nil {
 				return err
 			}
@@ -95,7 +97,8 @@
 	return t.UnixMilli(), nil
 }
 
-func loadWish(path string) (w *wish, after int64, work time.Duration, err error) {
+// loadWish reads a window; alone: without a list service to ask, it has to name the fleet.
+func loadWish(path string, alone bool) (w *wish, after int64, work time.Duration, err error) {
 	w = &wish{}
 	f, err := conf.Load(path, w)
 	if err != nil {
@@ -114,7 +117,7 @@
 	}
 	slices.Sort(w.Servers)
 	for _, uid := range w.Servers {
-		if _, is := w.Fleet[uid]; !is {
+		if _, is := w.Fleet[uid]; !is && alone {
 			return nil, 0, 0, f.Errorf("servers", "%s is not in fleet", uid)
 		}
 	}
@@ -143,11 +146,11 @@
 	c := &cobra.Command{
 		Use:   "contract",
 		Short: "What tenants have agreed to about maintenance",
-		Long:  "contract checks tenants' contracts. docs/window.md tells how they are written.\n\n" + exitHelp,
+		Long:  "contract checks tenants' contracts and brings them into force. docs/window.md tells how they are written.\n\n" + exitHelp,
 		Args:  exactly(0),
 		RunE:  func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
-	c.AddCommand(newContractCheck())
+	c.AddCommand(newContractCheck(), newContractSet(), newContractWithdraw(), newContractList())
 	return c
 }
 
