Windows: an earlier close shortens what sidecars are told, in the same entry of the log

A contract set anew with an earlier close dropped the keep-off, and the controller never told it again, as the old end was later than any that the close allows: servers under work were sent requests to. Now what is told ends by the new close.

--- a/internal/window/apply.go
+++ b/internal/window/apply.go
@@ -199,6 +199,13 @@
 		}
 		w.CloseMS = firstClose(w.Grants)
 		w.Rev = rev
+		shorter := false
+		if until := w.CloseMS - GuardMS - at.off; w.ToldMS > until { // an earlier close: tenants keep off until that
+			if w.ToldMS = until; until <= at.hi || at.doubt != "" {
+				w.ToldMS = 0
+			}
+			shorter = true
+		}
 		t.windows[w.Name] = &w
 		still := t.Entries(&w)
 		for _, id := range one.ids {
@@ -207,7 +214,7 @@
 			}
 		}
 		for _, e := range still { // a changed least share is told too
-			if e.Tenant == tenant && e.UntilMS > at.hi && at.doubt == "" {
+			if (e.Tenant == tenant || shorter) && e.UntilMS > at.hi && at.doubt == "" {
 				t.set = append(t.set, e)
 			}
 		}
