--- a/internal/registry/window.go
+++ b/internal/registry/window.go
@@ -133,7 +133,8 @@
 		refuse(w, http.StatusBadRequest, err)
 		return
 	}
-	if in.Kind == window.OpContract { // windows that it approves as they are go on under it
+	// Windows that a contract approves as they are go on under it. Who sets it may say what it approves now.
+	if in.Kind == window.OpContract && in.Grant == nil {
 		in.Grant = window.NewPlanner().Grant(&window.Kept{Contract: *in.Contract}, now, 0)
 	}
 	res, err := r.write(&Record{Op: OpWindow, ID: in.ID, Guard: in.Guard, Window: &WindowRecord{in.Op, stamp}})
