--- a/internal/registry/window_test.go
+++ b/internal/registry/window_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -48,6 +49,17 @@
 	always := contract.Contract{Tenant: "portal", Notice: "0s", MinutesAMonth: 10_000, LeastShare: 0.5, WindowsAtOnce: 1, OnOverrun: contract.HaltOthers,
 		Spec: hours.Spec{Zone: "UTC", Open: []hours.Rule{{Rule: "FREQ=DAILY", Start: "00:00", Length: "48h", From: "2020-01-01"}}}}
 	must(nil, window.Op{Kind: window.OpContract, Contract: &always})
+	bounded := func() bool {
+		t.Helper()
+		v, err := b.client.LedgerView(b.ctx, true, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return slices.ContainsFunc(v.Budgets, func(b disruption.Budget) bool { return b.Name == window.BudgetName("portal") })
+	}
+	if !bounded() {
+		t.Error("no budget goes with the contract")
+	}
 	must(nil, window.Op{Kind: window.OpPropose, Name: "w", By: "ops", Servers: []string{"s0"}, WorkMS: 60_000})
 	g := b.seek(window.Duty)
 	v := view()
@@ -112,6 +124,9 @@
 	if n := told(); n != 0 {
 		t.Errorf("%d entries are told after the contract ended", n)
 	}
+	if bounded() {
+		t.Error("its budget outlives the contract")
+	}
 	if w := view().Table.Window("w"); w == nil || w.Stage != window.Draining || view().Permits["window/w/1"] != disruption.Out {
 		t.Errorf("%+v", w)
 	}
--- a/internal/window/drive/drive_test.go
+++ b/internal/window/drive/drive_test.go
@@ -303,6 +303,7 @@
 // Case 8: a server does not come back and the close comes while the controller is dead, or all of the list service. What
 // sidecars are told ends by itself; who comes after it finds the overrun and halts the tenant's other windows.
 func TestCase8CloseWhileDead(t *testing.T) {
+	t.Parallel()
 	for name, registryToo := range map[string]bool{"controller": false, "registry": true} {
 		t.Run(name, func(t *testing.T) {
 			b := newBed(t)
@@ -311,7 +312,7 @@
 			b.stage("disks", window.Free)
 			b.live.Store(false)
 			now := time.Now()
-			closes := now.Add(9 * time.Second).UnixMilli()
+			closes := now.Add(8 * time.Second).UnixMilli()
 			b.closeMS.Store(closes)
 			month := hours.Month{Name: "2026-01", Interval: hours.Interval{From: now.Add(-time.Hour).UnixMilli(), Until: closes + 24*3600_000}}
 			b.contract(&window.Grant{Tenant: "portal", OpenMS: month.From, CloseMS: closes, Months: []hours.Month{month}})
@@ -357,6 +358,7 @@
 // Case 8: the controller's clock is an hour off. Its steps are refused when they are applied and nothing is taken out, until
 // one with a right clock goes on.
 func TestCase8ClockAnHourOff(t *testing.T) {
+	t.Parallel()
 	for _, ahead := range []string{"1h", "-1h"} {
 		t.Run(ahead, func(t *testing.T) {
 			b := newBed(t)
