--- a/internal/window/control_steps.go
+++ b/internal/window/control_steps.go
@@ -140,8 +140,7 @@
 	return s.tell(w)
 }
 
-// empty tells whether each sidecar that lives follows the window's entries and has nothing open on its servers. Entries of
-// tenants whose requests it does not have are not in force there; one that follows none of them may send any request.
+// empty tells whether each sidecar that lives follows all of the window's entries and has nothing open on its servers.
 func (s *look) empty(w *Window) bool {
 	if w.ToldMS <= s.at.hi {
 		return false
@@ -155,16 +154,10 @@
 		if !known || s.now.MonoMS-r.at > freshMS || r.Rev < w.ToldRev {
 			return false
 		}
-		follows := false
-		for _, e := range entries { // told in one line, with one end: who has that revision follows all that are for it
-			open, inForce := r.Open[e.ID]
-			if open != 0 || slices.Contains(r.Suspended, e.ID) {
+		for _, e := range entries {
+			if open, inForce := r.Open[e.ID]; !inForce || open != 0 || slices.Contains(r.Suspended, e.ID) {
 				return false
 			}
-			follows = follows || inForce
-		}
-		if !follows {
-			return false
 		}
 	}
 	return true
