--- a/cmd/milldeck/window_test.go
+++ b/cmd/milldeck/window_test.go
@@ -49,6 +49,13 @@
 		{[]string{"window", "plan", wish, "--contract", one}, exitFailed, []string{"there is no contract of teller"}},
 		{[]string{"window", "plan", one}, exitUsage, []string{"portal.toml:1: tenant: unknown key"}},
 		{[]string{"window", "plan", wish, "--at", "noon"}, exitUsage, []string{"--at"}},
+		{[]string{"window", "serve", "--reports-listen", "10.0.0.1:80"}, exitUsage, []string{"reports-listen"}},
+		{[]string{"window", "run", "--listen", "10.0.0.1:80"}, exitUsage, []string{"reports-listen"}},
+		{[]string{"window", "serve", "--clock-off", "6s"}, exitUsage, []string{"--clock-off: 6s is not within"}},
+		{[]string{"window", "halt", "a", "--tenant", "portal"}, exitUsage, []string{"one name at most, or --tenant"}},
+		{[]string{"window", "propose", one}, exitUsage, []string{"portal.toml:1: tenant: unknown key"}},
+		{[]string{"contract", "set", wish}, exitUsage, []string{"w.toml:1: name: unknown key"}},
+		{[]string{"window", "show", "w", "--replicas", "127.0.0.1:1", "--wait", "100ms"}, exitFailed, []string{"connection refused"}},
 		{[]string{"contract", "check", wish}, exitUsage, []string{"w.toml:1: name: unknown key"}},
 	} {
 		code, out, errOut := command(t, c.args...)
--- a/cmd/milldeck/windowserve.go
+++ b/cmd/milldeck/windowserve.go
@@ -30,8 +30,9 @@
 	var off, ahead, ttl time.Duration
 	a := &asking{}
 	c := &cobra.Command{
-		Use:   "serve",
-		Short: "Seeks the duty " + window.Duty + " and carries windows out while it is held, until SIGTERM",
+		Use:     "serve",
+		Aliases: []string{"run"},
+		Short:   "Seeks the duty " + window.Duty + " and carries windows out while it is held, until SIGTERM",
 		Long: "serve takes sidecars' reports, seeks the duty " + window.Duty + " and carries out all windows while it is held. Run two or\n" +
 			"three; agents pass reports on to all of them. Where one stops, the next goes on. It is ready once it logs \"serves\".\n\n" + exitHelp,
 		Example: "  milldeck window serve --replicas 127.0.0.1:8500,127.0.0.2:8500 --reports-listen 127.0.0.1:8550 --clock-off 100ms",
@@ -65,8 +66,11 @@
 	c.Flags().StringVar(&ready, "ready-path", "/health/ready", "path at which a server that is back answers 200")
 	c.Flags().DurationVar(&ttl, "ttl", duty.DefaultTTL, "how long after its last sign of life a controller is taken for dead")
 	c.Flags().DurationVar(&ahead, "clock-ahead", 0, "have the clock be wrong by this much, to try out what happens")
-	if err := c.Flags().MarkHidden("clock-ahead"); err != nil {
-		panic(err) // the flag is there
+	c.Flags().StringVar(&listen, "listen", devWindows, "as --reports-listen, and as other controllers call it")
+	for _, name := range []string{"clock-ahead", "listen"} {
+		if err := c.Flags().MarkHidden(name); err != nil {
+			panic(err) // the flag is there
+		}
 	}
 	return c
 }
