--- a/internal/window/plan.go
+++ b/internal/window/plan.go
@@ -138,6 +138,11 @@
 
 // Plan finds the earliest time for a wish from now on, or says who forbids it: then its error is a *Forbidden.
 func (p *Planner) Plan(t *Table, f Fleet, w Wish, now int64) (*Plan, error) {
+	for _, uid := range w.Servers {
+		if _, is := f[uid]; !is {
+			return nil, &Forbidden{Why: "there is no server " + uid}
+		}
+	}
 	tenants := f.TenantsOf(t, w.Servers)
 	names := sortedKeys(tenants)
 	if len(names) == 0 {
--- a/internal/window/told_test.go
+++ b/internal/window/told_test.go
@@ -1,6 +1,9 @@
 package window
 
-import "testing"
+import (
+	"errors"
+	"testing"
+)
 
 // A contract set anew with an earlier close shortens what is told in the same entry, or ends it where it is over or in doubt.
 func TestAnEarlierCloseEndsWhatIsTold(t *testing.T) {
@@ -34,3 +37,13 @@
 		}
 	})
 }
+
+// A name that is no server's is said to be that, whatever the contracts would say.
+func TestThePlannerNamesAServerThatThereIsNot(t *testing.T) {
+	s, table := newSmall()
+	_, err := NewPlanner().Plan(table, Fleet{"m0": nil, "m1": nil}, Wish{Name: "w", Servers: []string{"m0", "mo"}, WorkMS: minute, FromMS: s.open}, s.open)
+	var f *Forbidden
+	if !errors.As(err, &f) || f.Why != "there is no server mo" {
+		t.Errorf("%v", err)
+	}
+}
