--- a/internal/registry/window.go
+++ b/internal/registry/window.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -50,12 +51,37 @@
 		}
 		return Result{outcome, index, string(res.Outcome) + ": " + res.Why}
 	}
-	if len(res.Set)+len(res.Drop) == 0 {
-		return Result{Outcome: Done, Rev: index}
+	return Result{Done, index, cmp.Or(s.budgetOf(index, &op), s.tellWindow(index, r.Stamp.LeaderMS, res.Set, res.Drop))}
+}
+
+// tellWindow puts what sidecars are told into the placement. Where that is full they keep off nothing new, and the window
+// does not become empty and comes back; what they keep off no more is dropped all the same.
+func (s *State) tellWindow(index uint64, now int64, set []placement.Entry, drop []string) string {
+	if len(set)+len(drop) == 0 {
+		return ""
+	}
+	outcome, why := s.places.Apply(index, window.Duty, &placement.Op{NowMS: now, Set: set, Drop: drop})
+	if outcome != placement.Done && len(set) > 0 && len(drop) > 0 {
+		s.places.Apply(index, window.Duty, &placement.Op{NowMS: now, Drop: drop})
+	}
+	return why
+}
+
+// budgetOf has the ledger bound what is out of a contract's servers, for whatever reason, from the same entry of the log on.
+func (s *State) budgetOf(index uint64, op *window.Op) string {
+	in := &disruption.Op{Kind: disruption.OpBudget, Owner: "operator/contract"} // people alone set contracts
+	switch op.Kind {
+	case window.OpContract:
+		in.Budget = window.BudgetOf(op.Contract)
+	case window.OpWithdraw:
+		in.Budget, in.Drop = &disruption.Budget{Name: window.BudgetName(op.Tenant)}, true
+	default:
+		return ""
+	}
+	if outcome, why := s.begin(index).table.Apply(index, in); outcome != disruption.Done {
+		return "no budget of the ledger goes with it: " + why
 	}
-	// Refused, sidecars keep off nothing new: the window does not become empty, and comes back.
-	_, why := s.places.Apply(index, window.Duty, &placement.Op{NowMS: r.Stamp.LeaderMS, Set: res.Set, Drop: res.Drop})
-	return Result{Done, index, why}
+	return ""
 }
 
 // WindowsView is contracts and windows with what their controller needs of the rest of the state, all of one revision.
