--- a/internal/lab/live/control.go
+++ b/internal/lab/live/control.go
@@ -30,9 +30,10 @@
 )
 
 const (
-	planeReady = 30 * time.Second // for all servers, and then for all sidecars, of one machine that starts them at once
-	startBatch = 64               // units that are started in one call
-	endWait    = 10 * time.Second // for the platform to end all that it has started
+	planeReady   = 30 * time.Second // for all servers, and then for all sidecars, of one machine that starts them at once
+	startBatch   = 64               // units that are started in one call
+	sidecarLease = 3 * time.Second  // of a sidecar in the ledger
+	endWait      = 10 * time.Second // for the platform to end all that it has started
 )
 
 // control is the control plane of a run: the platform that starts servers and sidecars, the controllers, and what
@@ -55,15 +56,14 @@
 	beside  map[string]int // of sidecars by unit
 
 	mu     sync.Mutex
-	lives  map[int]*seen               // by pid
-	homes  map[string]registry.Sidecar // sidecars as they are registered
-	broken error                       // what the lab itself could not do
-	abort  func()                      // ends the run's load
+	lives  map[int]*seen // by pid
+	broken error         // what the lab itself could not do
+	abort  func()        // ends the run's load
 }
 
 func newControl(f *fleet) *control {
 	c := &control{
-		f: f, file: f.plan.File.Control, numbers: map[string]int{}, beside: map[string]int{}, lives: map[int]*seen{}, homes: map[string]registry.Sidecar{},
+		f: f, file: f.plan.File.Control, numbers: map[string]int{}, beside: map[string]int{}, lives: map[int]*seen{},
 	}
 	c.judge = lab.NewControlJudge(f.plan, f.judge)
 	c.ctx, c.quit = context.WithCancel(f.ctx)
@@ -110,7 +110,6 @@
 	}
 	c.around.Go(c.watchProcesses)
 	c.around.Go(c.watchSidecars)
-	c.around.Go(c.registerSidecars)
 	c.around.Go(c.watchList)
 	if err := c.startServers(ctx); err != nil {
 		return err
@@ -162,15 +161,19 @@
 	return nil
 }
 
-// agentMore is what agents' configurations say beside the list.
-func (c *control) agentMore(name string) string {
+// agentMore is what an agent's configuration says beside the list: the placement, where reports go, and its sidecar,
+// which it registers in the ledger.
+func (c *control) agentMore(n int, name string) string {
 	var reports []string
 	for _, k := range c.controllers {
 		if k.file.Reports {
 			reports = append(reports, fmt.Sprintf("%q", k.addr))
 		}
 	}
-	return fmt.Sprintf("saved_placement = %q\nreports = [%s]\n", filepath.Join(c.f.opts.Dir, name+".placement"), strings.Join(reports, ", "))
+	p := &c.f.plan.Sidecars[n]
+	return fmt.Sprintf("saved_placement = %q\nreports = [%s]\n[sidecar]\nname = %q\naddress = %q\nzone = %q\ntenant = %q\nversion = %q\nlease_ms = %d\n",
+		filepath.Join(c.f.opts.Dir, name+".placement"), strings.Join(reports, ", "), p.Name, c.f.addrs.sidecar(n),
+		c.f.plan.File.Zones[p.Zone], c.f.plan.Tenant(n), c.file.SidecarVersion, sidecarLease.Milliseconds())
 }
 
 // trouble keeps the first thing that the lab itself could not do: such a run says nothing.
--- a/internal/lab/live/registry.go
+++ b/internal/lab/live/registry.go
@@ -111,7 +111,7 @@
 	text := fmt.Sprintf("listen = %q\nreplicas = [%q, %q, %q]\nsaved = %q\nfleet = %d\n", a.addr(), l.cluster.Replicas[0].HTTP,
 		l.cluster.Replicas[1].HTTP, l.cluster.Replicas[2].HTTP, filepath.Join(f.opts.Dir, name+".list"), len(f.agents))
 	if f.control != nil {
-		text += f.control.agentMore(name)
+		text += f.control.agentMore(a.n, name)
 	}
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return err
--- a/internal/lab/live/watch.go
+++ b/internal/lab/live/watch.go
@@ -1,14 +1,10 @@
 package live
 
 import (
-	"context"
 	"fmt"
-	"log/slog"
-	"maps"
 	"net/http"
 	"os"
 	"path/filepath"
-	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -20,10 +16,8 @@
 const (
 	processPoll = 20 * time.Millisecond // nothing announces that another process has started one
 	healthPoll  = 50 * time.Millisecond // a sidecar that drains says so for ten times as long
-	// sidecarLease is that of a sidecar in the ledger.
-	sidecarLease = 3 * time.Second
-	unitEnv      = "LAB_UNIT"
-	versionEnv   = "LAB_VERSION"
+	unitEnv     = "LAB_UNIT"
+	versionEnv  = "LAB_VERSION"
 )
 
 // seen is a process of a unit.
@@ -188,16 +182,13 @@
 			for sleep(c.ctx, healthPoll) && !c.over.Load() {
 				pid := c.newest(unit)
 				if pid == 0 {
-					c.home(n.n, 0, false, false)
 					continue
 				}
 				switch got := status(n.addr); {
 				case got == http.StatusOK && was != pid:
 					was = pid
-					c.home(n.n, pid, true, false)
 					c.judge.Ready(c.now(), unit, lifeName(pid), true)
 				case got == http.StatusServiceUnavailable && was == pid:
-					c.home(n.n, pid, true, true)
 					c.judge.Told(c.now(), unit, lifeName(pid))
 				}
 			}
@@ -205,51 +196,6 @@
 	}
 }
 
-// home notes how a sidecar is to be registered; without a process it is not.
-func (c *control) home(n, pid int, ready, ending bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	p := &c.f.plan.Sidecars[n]
-	if pid == 0 {
-		delete(c.homes, p.Name)
-		return
-	}
-	old, known := c.homes[p.Name]
-	h := registry.Sidecar{
-		Name: p.Name, Zone: c.f.plan.File.Zones[p.Zone], Tenant: c.f.plan.Tenant(n), Ready: ready && !ending, Ending: ending,
-		TTLMS: sidecarLease.Milliseconds(), BootMS: old.BootMS,
-	}
-	if s := c.lives[pid]; s != nil {
-		h.Version = s.version
-	}
-	if !known {
-		h.BootMS = float64(time.Now().UnixMilli())
-	}
-	c.homes[p.Name] = h
-}
-
-// registerSidecars keeps sidecars registered in the ledger with what their processes answer. Which list they have, their
-// own reports say.
-func (c *control) registerSidecars() {
-	client := c.f.registry.client
-	for sleep(c.ctx, sidecarLease/6) && !c.over.Load() {
-		c.mu.Lock()
-		in := registry.SidecarCall{TTLMS: sidecarLease.Milliseconds()}
-		for _, name := range slices.Sorted(maps.Keys(c.homes)) {
-			in.Sidecars = append(in.Sidecars, c.homes[name])
-		}
-		c.mu.Unlock()
-		if len(in.Sidecars) == 0 {
-			continue
-		}
-		ctx, cancel := context.WithTimeout(c.ctx, sidecarLease/2)
-		if _, err := client.RegisterSidecars(ctx, in); err != nil && c.ctx.Err() == nil {
-			slog.Debug("sidecars not registered", "error", err)
-		}
-		cancel()
-	}
-}
-
 // watchList follows the list as the replicas tell it.
 func (c *control) watchList() {
 	l := c.f.registry
