--- a/internal/lab/live/control.go
+++ b/internal/lab/live/control.go
@@ -56,9 +56,10 @@
 	beside  map[string]int // of sidecars by unit
 
 	mu     sync.Mutex
-	lives  map[int]*seen // by pid
-	broken error         // what the lab itself could not do
-	abort  func()        // ends the run's load
+	lives  map[int]*seen   // by pid
+	broken error           // what the lab itself could not do
+	abort  func()          // ends the run's load
+	load   context.Context // ends with the load
 }
 
 func newControl(f *fleet) *control {
@@ -183,6 +184,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.load != nil && c.load.Err() != nil {
+		return
+	}
 	if c.broken == nil {
 		c.broken = fmt.Errorf("the lab cannot play %s: %w", what, err)
 		if c.abort != nil {
@@ -191,11 +195,11 @@
 	}
 }
 
-// onTrouble has something done at the first trouble.
-func (c *control) onTrouble(do func()) {
+// onTrouble has something done at the first trouble while the load goes on: what is cut off with it is none.
+func (c *control) onTrouble(load context.Context, do func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.abort = do
+	c.load, c.abort = load, do
 }
 
 // failed is what made the run say nothing.
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -225,7 +225,7 @@
 	around.Go(func() { f.report(load) })
 	around.Go(func() { f.inject(load) })
 	if f.control != nil {
-		f.control.onTrouble(stop)
+		f.control.onTrouble(load, stop)
 		around.Go(func() { f.control.steps(load) })
 	}
 	f.load(load)
