--- a/cmd/milldeck/lab.go
+++ b/cmd/milldeck/lab.go
@@ -144,6 +144,9 @@
 			if err != nil {
 				return err
 			}
+			if p.File.Controlled() {
+				slog.Warn("sim plays the load and the faults of servers and sidecars, not the control plane")
+			}
 			names := []string{policy}
 			if policy == "all" {
 				names = sim.Policies()
