--- a/internal/lab/judge_control.go
+++ b/internal/lab/judge_control.go
@@ -27,6 +27,8 @@
 		work float64
 	}
 	keepings int
+	outside  float64        // ms
+	mostOut  map[string]int // by kind
 	coldest  float64
 	warned   float64 // when the rule on it was broken last; before the run at the start
 	bears    float64 // work that all servers do in a second, ms
@@ -79,7 +81,7 @@
 
 // NewControlJudge makes the judge of a run's control plane; what it finds is part of j's verdict.
 func NewControlJudge(p *Plan, j *Judge) *ControlJudge {
-	c := &ControlJudge{j: j, plan: p, file: p.File.Control, units: map[string]*controlled{}, kept: map[int]map[keptOff]span{}, copies: map[int][]Copied{}, copied: map[Copied]int{}, warned: math.Inf(-1)}
+	c := &ControlJudge{j: j, plan: p, file: p.File.Control, units: map[string]*controlled{}, kept: map[int]map[keptOff]span{}, copies: map[int][]Copied{}, copied: map[Copied]int{}, mostOut: map[string]int{}, warned: math.Inf(-1)}
 	wants := func(version string) EndFile { return EndFile{Version: version} }
 	for i := range p.Servers {
 		s := &p.Servers[i]
@@ -125,10 +127,22 @@
 		u.out, u.since = true, now
 		if u.planned = planned && !u.failed(now); u.planned {
 			c.budget(now, u)
+			c.countOut(u.kind)
 		}
 	}
 }
 
+// countOut keeps the most units of a kind that were taken out at a time.
+func (c *ControlJudge) countOut(kind string) {
+	n := 0
+	for _, u := range c.units {
+		if u.kind == kind && u.out && u.planned {
+			n++
+		}
+	}
+	c.mostOut[kind] = max(c.mostOut[kind], n)
+}
+
 // in tells whether it serves.
 func (u *controlled) in() bool {
 	if u.kind == "server" && u.listed != listReady {
--- a/internal/lab/judge_control_test.go
+++ b/internal/lab/judge_control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"testing"
@@ -239,6 +240,22 @@
 	}
 }
 
+// The figures are what was told and done, whether or not a rule was broken.
+func TestControlFigures(t *testing.T) {
+	w := newControlWorld(t)
+	w.c.Placed(25000, 0, []Kept{{"branch", w.names[0], 35000}})
+	w.c.Placed(32000, 0, nil)
+	w.drain(1000, 0, "first")
+	w.drain(1100, 1, "first")
+	w.c.Copies(0, []Copied{{7, w.names[0]}})
+	w.c.Worked(1000, w.names[0], 7, 480, true)
+	got := w.c.Figures()
+	want := map[string]float64{"kept_off": 1, "kept_off_outside_s": 2, "most_servers_out": 2, "most_sidecars_out": 0, "cold_work_of_budget": 0.1}
+	if !maps.Equal(got, want) {
+		t.Errorf("%v, want %v", got, want)
+	}
+}
+
 // fault is an entry of a file.
 func fault(kind, target, more string) string {
 	return fmt.Sprintf("[[fault]]\nkind = %q\ntarget = %q\nat_s = 1\n%s\n", kind, target, more)
--- a/internal/lab/judge_told.go
+++ b/internal/lab/judge_told.go
@@ -57,6 +57,7 @@
 			at = 1000 * h.ToS
 		}
 	}
+	c.outside += max(0, s.to-at)
 	if at+hourSlack < s.to {
 		c.j.breaks(now, RuleHours, nil, fmt.Sprintf("sidecar %d is told to keep %s off %s from %.0f to %.0f ms, outside its hours from %.0f ms on",
 			sidecar, k.tenant, k.server, s.from, s.to, at))
@@ -116,19 +117,18 @@
 	}
 }
 
-// Coldest is the most cold work that copies did within a window, as a part of what they may.
-func (c *ControlJudge) Coldest() float64 {
+// Figures are what the judge has measured: how often a sidecar was told to begin to keep off a server, for how many seconds
+// it was told to outside its tenant's hours, the most cold work of copies against its budget, and the most servers and
+// sidecars that were out at a time of those that somebody took out.
+func (c *ControlJudge) Figures() map[string]float64 {
 	c.j.mu.Lock()
 	defer c.j.mu.Unlock()
+	out := map[string]float64{
+		"kept_off": float64(c.keepings), "kept_off_outside_s": round(c.outside / 1000),
+		"most_servers_out": float64(c.mostOut["server"]), "most_sidecars_out": float64(c.mostOut["sidecar"]),
+	}
 	if most := c.file.Spread.Most * c.bears * c.file.Spread.WindowS; most > 0 {
-		return c.coldest / most
+		out["cold_work_of_budget"] = round(c.coldest / most)
 	}
-	return 0
-}
-
-// Keepings is how often a sidecar was told to begin to keep off a server.
-func (c *ControlJudge) Keepings() int {
-	c.j.mu.Lock()
-	defer c.j.mu.Unlock()
-	return c.keepings
+	return out
 }
--- a/internal/lab/live/control.go
+++ b/internal/lab/live/control.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"log/slog"
 	"net"
 	"os"
 	"path/filepath"
@@ -216,7 +215,6 @@
 func (c *control) finish() {
 	c.judge.Finish(c.now())
 	c.over.Store(true)
-	slog.Info("sidecars were told", "to_keep_off", c.judge.Keepings(), "cold_work_of_budget", c.judge.Coldest())
 }
 
 // stop ends controllers, and then all that the platform has started.
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -242,6 +242,9 @@
 	f.judge.Finish(f.now())
 	r := f.measure.Result("run", "module", f.judge)
 	r.Cut = ctx.Err() != nil
+	if f.control != nil {
+		r.Figures = f.control.judge.Figures()
+	}
 	return r
 }
 
--- a/internal/lab/measure.go
+++ b/internal/lab/measure.go
@@ -212,6 +212,8 @@
 	WindowMS    float64        `json:"window_ms"`
 	Windows     []Window       `json:"windows"`
 	Faults      []FaultMark    `json:"faults"`
+
+	Figures map[string]float64 `json:"figures,omitempty"` // of the control plane, where it takes part
 }
 
 // ClassResult is a class's part.
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"image/color"
 	"io"
+	"maps"
 	"math"
 	"os"
 	"path/filepath"
@@ -51,6 +52,9 @@
 	if r.Mode == "run" {
 		row("lateness of the lab", "p99 %.1f ms, at most %.1f ms%s", r.Lateness, r.LatenessMax, tooLate(r))
 	}
+	for _, name := range slices.Sorted(maps.Keys(r.Figures)) {
+		row(name, "%g", r.Figures[name])
+	}
 	for _, c := range r.Classes {
 		row("class "+c.Name, "%d requests, %.2f%% served in time", c.Requests, 100*c.ServedShare)
 	}
