--- a/cmd/milldeck/labsweep.go
+++ b/cmd/milldeck/labsweep.go
@@ -22,11 +22,13 @@
 // many are the flags of what is played on many seeds, in either mode.
 type many struct {
 	liveFlags
+	spreadFlags
 	seeds, mode, policy string
 }
 
 func (m *many) flags(c *cobra.Command) {
 	m.liveFlags.flags(c)
+	m.spreadFlags.flags(c)
 	c.Flags().StringVar(&m.seeds, "seeds", "1-10", "seeds, as 1-20 or 3,5,8")
 	c.Flags().StringVar(&m.mode, "mode", "sim", "sim or run")
 	c.Flags().StringVar(&m.policy, "policy", sim.Module, "in sim, what decides")
@@ -56,6 +58,9 @@
 		return nil, nil, nil, usageError{fmt.Errorf("--mode %s: not sim or run", m.mode)}
 	}
 	f, err := lab.Load(path)
+	if err == nil {
+		f, err = m.of(f)
+	}
 	return f, list, play, err
 }
 
--- a/internal/spread/widen.go
+++ b/internal/spread/widen.go
@@ -25,11 +25,10 @@
 			continue
 		}
 		for _, c := range k.copies { // what still is warm comes back for nothing
-			if c.stage == Cooling && !d.fleet.leaving[c.uid] && w.have < k.need && count < d.mostCopies() {
+			if c.stage == Cooling && !d.fleet.leaving[c.uid] && w.have < k.need {
 				c.stage = Carrying
 				w.have += d.fleet.bears(d.fleet.at[c.uid])
 				k.narrowAt = math.Max(k.narrowAt, now+d.cfg.Hold)
-				count++
 			}
 		}
 		wants = append(wants, w)
@@ -40,6 +39,9 @@
 			return 0
 		}
 		if w.k.keep > w.have {
+			if w.k.count(Warming) >= max(d.cfg.Warmers/3, 1) { // what leaves still carries, and is not to lose its part at once
+				return 0
+			}
 			return math.Inf(1)
 		}
 		if len(w.k.copies) >= widest {
