--- a/cmd/milldeck/window.go
+++ b/cmd/milldeck/window.go
@@ -23,13 +23,9 @@
 		Args: exactly(0),
 		RunE: func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
-	c.AddCommand(newWindowPlan(), newWindowRun(), newWindowPropose(), newWindowList(), newWindowShow(),
-		newWindowTell("halt", "Halts a window; one that is out comes back", func(name, why string) window.Op {
-			return window.Op{Kind: window.OpHalt, Scope: "window/" + name, Why: why}
-		}),
-		newWindowTell("resume", "Has a halted window planned again", func(name, _ string) window.Op {
-			return window.Op{Kind: window.OpResume, Scope: "window/" + name}
-		}),
+	c.AddCommand(newWindowPlan(), newWindowServe(), newWindowPropose(), newWindowList(), newWindowShow(),
+		newWindowHold(window.OpHalt, "Halts a window, a tenant's windows or all: nothing more goes out, a window by name comes back"),
+		newWindowHold(window.OpResume, "Has halted windows go on"),
 		newWindowTell("cancel", "Cancels a window; one that is out comes back", func(name, why string) window.Op {
 			return window.Op{Kind: window.OpCancel, Name: name, Why: why}
 		}),
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -225,7 +225,7 @@
 	around.Go(func() { f.report(load) })
 	around.Go(func() { f.inject(load) })
 	if f.control != nil {
-		f.control.onTrouble(stop)
+		f.control.onTrouble(load, stop)
 		around.Go(func() { f.control.steps(load) })
 	}
 	f.load(load)
@@ -242,6 +242,9 @@
 	f.judge.Finish(f.now())
 	r := f.measure.Result("run", "module", f.judge)
 	r.Cut = ctx.Err() != nil
+	if f.control != nil {
+		r.Figures = f.control.judge.Figures()
+	}
 	return r
 }
 
--- a/internal/window/drive/drive.go
+++ b/internal/window/drive/drive.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"milldeck/internal/collect"
@@ -24,6 +25,7 @@
 	restEvery  = 2 * time.Second        // and while none is: a halt or a contract is acted on after this long
 	callWait   = 3 * time.Second        // for one look or write; an election of the list service takes about two
 	probeWait  = time.Second            // for one server
+	mostCalls  = 16                     // writes at a time, and looks at servers of one window
 	firstPause = 500 * time.Millisecond
 	mostPause  = 5 * time.Second
 )
@@ -110,14 +112,17 @@
 	}
 	now := t.now()
 	effects, wake := t.core.Step(now, v)
-	for _, e := range effects {
-		if ctx.Err() != nil {
-			return 0, ctx.Err()
-		}
-		outcome, why, rev := t.do(ctx, v, e)
-		t.core.Answered(t.now(), e, outcome, why, rev)
-		if e.Op != nil && e.Op.Kind != window.OpTell || outcome != window.Applied {
-			slog.Info("window", "window", e.Window, "step", name(e), "outcome", outcome, "why", why)
+	// At a time, each on its own window: one that waits for servers that are silent keeps none from being prolonged.
+	answers := make([]answer, len(effects))
+	each(len(effects), func(i int) { answers[i] = t.do(ctx, v, effects[i]) })
+	if ctx.Err() != nil {
+		return 0, ctx.Err()
+	}
+	for i, e := range effects {
+		a := &answers[i]
+		t.core.Answered(t.now(), e, a.outcome, a.why, a.rev)
+		if e.Op != nil && e.Op.Kind != window.OpTell || a.outcome != window.Applied {
+			slog.Info("window", "window", e.Window, "step", name(e), "outcome", a.outcome, "why", a.why)
 		}
 	}
 	if len(effects) > 0 {
@@ -130,6 +135,27 @@
 	return wait, nil
 }
 
+// each calls do for 0 to n-1, some at a time.
+func each(n int, do func(int)) {
+	var around sync.WaitGroup
+	room := make(chan struct{}, mostCalls)
+	for i := range n {
+		room <- struct{}{}
+		around.Go(func() {
+			defer func() { <-room }()
+			do(i)
+		})
+	}
+	around.Wait()
+}
+
+// answer is what became of an effect, and the revision that has it.
+type answer struct {
+	outcome window.Outcome
+	why     string
+	rev     uint64
+}
+
 func name(e window.Effect) string {
 	if e.Op != nil {
 		return string(e.Op.Kind)
@@ -138,7 +164,7 @@
 }
 
 // do writes one effect. Without an answer it is not known whether it was taken: the core looks again.
-func (t *tenure) do(ctx context.Context, v *window.View, e window.Effect) (window.Outcome, string, uint64) {
+func (t *tenure) do(ctx context.Context, v *window.View, e window.Effect) answer {
 	ctx, stop := context.WithTimeout(ctx, callWait)
 	defer stop()
 	var res registry.Result
@@ -148,7 +174,7 @@
 	case e.Op != nil:
 		res, err = t.Store.WriteWindow(ctx, w, t.now().Stamp(), *e.Op)
 	case e.Act.Kind == disruption.OpSee:
-		op := e.Act.Found(v, func(s window.Server) disruption.Condition { return t.look(ctx, s) })
+		op := t.found(ctx, v, e.Act)
 		var out registry.LedgerResult
 		out, err = t.Store.Ledger(ctx, w, *op)
 		res = out.Result
@@ -158,7 +184,7 @@
 		res = out.Result
 	}
 	if err == nil {
-		return window.Applied, "", res.Rev
+		return answer{window.Applied, res.Why, res.Rev}
 	}
 	var status *registry.StatusError
 	outcome := window.Held
@@ -169,7 +195,18 @@
 	case e.Act != nil && e.Act.Kind == disruption.OpAsk && (status.Status == http.StatusConflict || status.Status == http.StatusNotFound):
 		outcome = window.Bad // it can never be granted
 	}
-	return outcome, err.Error(), 0
+	return answer{outcome, err.Error(), 0}
+}
+
+// found looks at an act's servers and says what there is.
+func (t *tenure) found(ctx context.Context, v *window.View, a *window.Act) *disruption.Op {
+	conditions := make([]disruption.Condition, len(a.Servers))
+	each(len(a.Servers), func(i int) { conditions[i] = t.look(ctx, v.Out[a.Servers[i]]) })
+	next := 0
+	return a.Found(v, func(window.Server) disruption.Condition {
+		next++
+		return conditions[next-1]
+	})
 }
 
 // look tells whether a server serves.
