--- a/cmd/milldeck/main.go
+++ b/cmd/milldeck/main.go
@@ -81,6 +81,7 @@
 	flags.StringVar(&format, "log-format", "text", "form of the log: text or json")
 	root.AddCommand(newVersion(), newLab(), newRegistry(), newDuty(), newAgent(), newSupervisor(), newRelease(), newFleet())
 	root.AddCommand(newWindow(), newContract())
+	root.AddCommand(newSpread())
 	return root
 }
 
