--- a/internal/lab/file.go
+++ b/internal/lab/file.go
@@ -61,6 +61,7 @@
 	Classes   []ClassFile   `toml:"class"`
 	Phases    []PhaseFile   `toml:"phase"`
 	Faults    []FaultFile   `toml:"fault"`
+	Control   *ControlFile  `toml:"control"` // nil: there is no control plane
 }
 
 // NetworkFile holds one-way delays.
@@ -196,6 +197,9 @@
 	MS        float64  `toml:"ms"`
 	Steps     int      `toml:"steps"`
 	Reuse     bool     `toml:"reuse"` // roll: new servers take the addresses of those that went
+	What      string   `toml:"what"`  // platform: what it does
+	On        string   `toml:"on"`    // platform: the calls that it is about, "do" or "list"; "": both
+	Count     int      `toml:"count"` // platform: how many calls; 0: all for ForS, or one
 }
 
 // Load reads an experiment. Errors name file, line and key.
@@ -309,6 +313,7 @@
 	f.checkServers(bad, inside, within)
 	f.checkClasses(bad, inside, within)
 	f.checkPhases(bad, inside)
+	f.checkControl(bad, inside)
 	for i := range f.Faults {
 		f.Faults[i].check(f, fmt.Sprintf("fault[%d]", i), bad)
 	}
@@ -318,6 +323,31 @@
 	return nil
 }
 
+// CheckServer is the part of an experiment's check that is about servers, for one kind in a file of its own, under the
+// key "kind", with its classes.
+func (f *File) CheckServer(c *conf.File) error {
+	var first error
+	bad := func(key, format string, args ...any) {
+		if first == nil {
+			first = c.Errorf(strings.Replace(key, "server[0]", "kind", 1), format, args...)
+		}
+	}
+	inside := func(key string, v, least, most float64) {
+		if !(v >= least && v <= most) {
+			bad(key, "%v is not within %v to %v", v, least, most)
+		}
+	}
+	f.checkServers(bad, inside, func(key string, r Range, least, most float64) {
+		inside(key, r.Least, least, most)
+		inside(key, r.Most, least, most)
+	})
+	f.checkClasses(bad, inside, func(key string, r Range, least, most float64) {
+		inside(key, r.Least, least, most)
+		inside(key, r.Most, least, most)
+	})
+	return first
+}
+
 type badFunc func(key, format string, args ...any)
 
 func (f *File) checkZones(bad badFunc) {
