--- /dev/null
+++ b/internal/lab/night/log.go
@@ -0,0 +1,274 @@
+package night
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+
+	"milldeck/internal/disruption"
+	"milldeck/internal/duty/table"
+	"milldeck/internal/placement"
+	"milldeck/internal/release"
+	"milldeck/internal/window"
+)
+
+// state is what the replicas agree on: the tables themselves, and of the list only who drains.
+type state struct {
+	rev      uint64
+	epoch    uint64
+	ledger   *disruption.Table
+	releases *release.Table
+	windows  *window.Table
+	places   *placement.Table
+	duties   *table.Table
+	drains   map[string]uint64 // servers that are Terminating, by unit: the revision that says so
+	done     map[string]answer // of writes, by id
+}
+
+// answer is what became of a write.
+type answer struct{ outcome, why string }
+
+// Outcomes of writes beside those of the tables.
+const (
+	okay  = "done"
+	stale = "stale"
+)
+
+func newState() *state {
+	s := &state{ledger: disruption.New(), releases: release.NewTable(), windows: window.New(), places: placement.New(),
+		duties: table.New(), drains: map[string]uint64{}, done: map[string]answer{}, epoch: 1}
+	s.places.Begin(0, 1)
+	s.join()
+	return s
+}
+
+// join lets the tables see each other as the list service does.
+func (s *state) join() {
+	s.windows.Permit = func(id string) (disruption.Stage, bool) {
+		p, is := s.ledger.Permit(id)
+		return p.Stage, is
+	}
+}
+
+// saved is a state as a backup or a replica that is left behind has it. Duties are no part of it: tokens never run back.
+type saved struct {
+	Rev      uint64
+	Epoch    uint64
+	Ledger   disruption.Saved
+	Releases *release.Saved
+	Windows  *window.Saved
+	Places   *placement.Saved
+	Drains   map[string]uint64
+}
+
+// copied is a state of its own, equal to this one.
+func (s *state) copied() *state {
+	data, err := json.Marshal(&saved{s.rev, s.epoch, s.ledger.Save(), s.releases.Save(), s.windows.Save(), s.places.Save(), s.drains})
+	if err != nil {
+		panic(err) // all of it is made for snapshots
+	}
+	var v saved
+	if err := json.Unmarshal(data, &v); err != nil {
+		panic(err)
+	}
+	ledger, err := disruption.Load(v.Ledger)
+	if err != nil {
+		panic(fmt.Sprintf("a ledger that was saved: %v", err))
+	}
+	out := &state{rev: v.Rev, epoch: v.Epoch, ledger: ledger, releases: release.Load(v.Releases), windows: window.Load(v.Windows),
+		places: placement.Load(v.Places, v.Epoch), duties: s.duties, drains: v.Drains, done: maps.Clone(s.done)}
+	if out.drains == nil {
+		out.drains = map[string]uint64{}
+	}
+	out.join()
+	return out
+}
+
+// plane is the list service: a log whose leader may be gone, and may go between an entry and its answer.
+type plane struct {
+	*state
+	w      *world
+	leader clock // of whoever leads
+	down   int64 // ms: until then there is no leader
+	since  int64 // ms: since when there is one
+	lose   bool  // the next write is applied, and the leader dies before it answers
+	backup *state
+
+	renewed map[string]int64 // by duty: when its holder last showed
+	forged  map[string]*disruption.Permit
+	at      map[string]disruption.Permit // by unit: the permit that it is under, as of atRev
+	fresh   []disruption.Permit          // granted since they were last taken
+	got     map[string]uint64            // by permit: the grant that was seen
+	atRev   uint64
+}
+
+// clock is a wall clock: how far it is off, and what it owns up to, in ms.
+type clock struct{ off, unc int64 }
+
+func newPlane(w *world) *plane {
+	return &plane{state: newState(), w: w, renewed: map[string]int64{}, forged: map[string]*disruption.Permit{},
+		at: map[string]disruption.Permit{}, got: map[string]uint64{}}
+}
+
+// leads tells whether anything can be written or read.
+func (p *plane) leads() bool { return p.w.now >= p.down }
+
+// kill ends the leader; another leads after some ms. Leases begin anew with it.
+func (p *plane) kill(ms int64) {
+	p.down = p.w.now + ms
+	p.since = p.down
+	for duty := range p.renewed {
+		p.renewed[duty] = p.down
+	}
+}
+
+// write has a record applied, once for each id. Known is false where no answer came: it may have been applied or not.
+func (p *plane) write(id, duty string, token uint64, do func() (string, string)) (a answer, known bool) {
+	if !p.leads() {
+		return answer{}, false
+	}
+	if old, is := p.done[id]; is {
+		return old, true
+	}
+	p.rev++
+	if duty != "" && !p.w.opt.Bugs.NoToken && !p.duties.Holds(duty, token) {
+		a = answer{stale, fmt.Sprintf("token %d of %s counts no more", token, duty)}
+	} else {
+		a.outcome, a.why = do()
+	}
+	p.done[id] = a
+	if p.lose {
+		p.lose = false
+		p.kill(1500 + p.w.rng.Int64N(4000))
+		return answer{}, false
+	}
+	return a, true
+}
+
+// ledgerOp applies an operation to the ledger; a planted fault may stand in for it.
+func (p *plane) ledgerOp(op *disruption.Op) (string, string) {
+	if p.w.opt.Bugs.Torn && p.torn(op) {
+		return okay, ""
+	}
+	out, why := p.ledger.Apply(p.rev, op)
+	return string(out), why
+}
+
+// permit is the ledger's word on a permit.
+func (p *plane) permit(id string) (disruption.Permit, bool) {
+	if f := p.forged[id]; f != nil {
+		return *f, true
+	}
+	return p.ledger.Permit(id)
+}
+
+// torn is the planted fault of a grant that is not atomic: what there is room for is looked up in the ledger as it was a
+// second ago, and written now. The permits live beside the table.
+func (p *plane) torn(op *disruption.Op) bool {
+	if op.Permit == nil {
+		return false
+	}
+	f := p.forged[op.Permit.ID]
+	switch {
+	case op.Kind == disruption.OpAsk && f == nil && p.w.roomy(op.Permit):
+		c := *op.Permit
+		c.Stage, c.GotAt = disruption.Granted, p.rev
+		p.forged[c.ID] = &c
+		return true
+	case f == nil:
+		return false
+	case op.Kind == disruption.OpBegin && f.Stage == disruption.Granted:
+		f.Stage, f.OutAt = disruption.Out, p.rev
+	case op.Kind == disruption.OpReturn && f.Stage == disruption.Out:
+		f.Stage, f.BackAt = disruption.Returning, p.rev
+	case op.Kind == disruption.OpCancel:
+		f.Stage = disruption.Cancelled
+	case op.Kind == disruption.OpSettle:
+		for _, id := range f.Units {
+			if u, _ := p.ledger.Unit(id); u.Condition != disruption.Up {
+				return true
+			}
+		}
+		f.Stage = disruption.Settled
+	}
+	return true
+}
+
+// stamped is a controller's time with the leader's.
+func (p *plane) stamped(s window.Stamp) window.Stamp {
+	s.LeaderMS, s.LeaderUncertaintyMS = p.w.now+p.leader.off, p.leader.unc
+	if p.w.opt.Bugs.EarlyHours { // the hours were looked up by the controller; the log takes its word
+		s.LeaderMS, s.LeaderUncertaintyMS = s.ControllerMS, s.UncertaintyMS
+	}
+	return s
+}
+
+// windowOp applies an operation of windows, with what sidecars are told in the same entry.
+func (p *plane) windowOp(op *window.Op, s window.Stamp) (string, string) {
+	s = p.stamped(s)
+	if p.w.opt.Bugs.NoToken && op.Token != 0 {
+		c := *op
+		c.Token = max(op.Token, p.w.topToken)
+		p.w.topToken = c.Token
+		op = &c
+	}
+	r := p.windows.Apply(p.rev, op, s)
+	if len(r.Set) > 0 || len(r.Drop) > 0 {
+		now := p.w.now + p.leader.off
+		if p.w.opt.Bugs.PastClose {
+			for i := range r.Set {
+				r.Set[i].UntilMS = now + window.StepMS
+			}
+		}
+		r.Set = slices.DeleteFunc(r.Set, func(e placement.Entry) bool { return e.UntilMS <= now })
+		if len(r.Set)+len(r.Drop) > 0 {
+			p.places.Apply(p.rev, "window", &placement.Op{NowMS: now, Set: r.Set, Drop: r.Drop})
+		}
+	}
+	if r.Outcome == window.Applied {
+		p.w.work(op)
+	}
+	return string(r.Outcome), r.Why
+}
+
+// restore puts the backup back: an epoch of its own, and doubt until an operator has looked.
+func (p *plane) restore() {
+	rev, duties, done := p.rev, p.duties, p.done
+	p.state = p.backup
+	p.backup = nil
+	p.rev, p.duties, p.done, p.epoch = rev+1, duties, done, p.epoch+1
+	p.places.Begin(p.rev, p.epoch)
+	p.ledger.Doubt(p.rev, "the list was restored from a backup")
+	p.got, p.at, p.atRev = map[string]uint64{}, map[string]disruption.Permit{}, 0
+}
+
+// over tells whether a permit holds nothing any more.
+func over(s disruption.Stage) bool { return s == disruption.Settled || s == disruption.Cancelled }
+
+// look brings up to date which unit is under which permit, and which grants are new.
+func (p *plane) look() {
+	if p.atRev == p.rev && p.atRev != 0 {
+		return
+	}
+	p.atRev = p.rev
+	clear(p.at)
+	list := p.ledger.Permits()
+	for _, id := range slices.Sorted(maps.Keys(p.forged)) {
+		list = append(list, *p.forged[id])
+	}
+	for _, m := range list {
+		if m.Stage == disruption.Asked || over(m.Stage) {
+			continue
+		}
+		for _, u := range m.Units {
+			if !slices.Contains(m.Settled, u) {
+				p.at[u] = m
+			}
+		}
+		if p.got[m.ID] != m.GotAt {
+			p.got[m.ID] = m.GotAt
+			p.fresh = append(p.fresh, m)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/night/release.go
@@ -0,0 +1,243 @@
+package night
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	"milldeck/internal/disruption"
+	"milldeck/internal/release"
+	"milldeck/internal/release/judge"
+	"milldeck/internal/supervisor"
+)
+
+// releaser is the controller of a release or a drain.
+type releaser struct {
+	p       *process
+	name    string
+	token   uint64
+	state   *release.State
+	answers map[string]supervisor.Outcome
+	denied  map[string]string
+	empty   *release.Emptiness
+	watch   *release.Watch
+	begun   int64
+	seen    int64
+	late    []release.Delta // by a planted fault: not written yet
+}
+
+func (w *world) releaser(name string, k int) *process {
+	return w.process(fmt.Sprintf("%s-%d", name, k), release.Owner(name), func(p *process) controller { return &releaser{p: p, name: name} })
+}
+
+func (c *releaser) take(token uint64) {
+	c.token, c.state = token, nil
+	c.answers, c.denied, c.late = map[string]supervisor.Outcome{}, map[string]string{}, nil
+	c.empty, c.watch, c.begun = release.NewEmptiness(longest), release.NewWatch(8), c.p.w.now
+}
+
+// load reads the release anew where it is not known, or was written by another.
+func (c *releaser) load(s *state) bool {
+	at, _ := s.releases.Get(c.name)
+	if at == nil {
+		c.state = nil
+		return false
+	}
+	if c.state == nil || len(c.late) == 0 && (c.state.Seq != at.Seq || c.state.Run != at.Run) {
+		own := *at
+		own.Units = slices.Clone(at.Units)
+		c.state = &own
+	}
+	return true
+}
+
+func (c *releaser) step() {
+	w, s := c.p.w, c.p.reads()
+	if w.now%1000 != 0 || !c.load(s) {
+		return
+	}
+	_, told := s.releases.Get(c.name)
+	if c.state.Head.Phase.Over() && c.state.Head.Commands == len(told) {
+		return
+	}
+	l := w.list()
+	c.look(s, l)
+	wall := w.now
+	v := &release.View{
+		NowMS: wall, Token: c.token, Platform: l, Answers: c.answers, Denied: c.denied, Commands: told,
+		Unit:    s.ledger.Unit,
+		Permits: func(id string) (disruption.Permit, bool) { return c.permit(s, id) },
+		Made:    func(string) bool { return true },
+		Empty:   func(id string) bool { return c.empty.Empty(w.now-c.begun+1, id) },
+		Running: func(string) (release.Image, bool) { return release.Image{}, false },
+		Refused: func(string, string) string { return "" },
+		Verdict: c.verdict(l),
+	}
+	effects := c.state.Step(v)
+	if !c.call(effects) {
+		return
+	}
+	for _, e := range effects {
+		if _, is := e.(release.Do); is {
+			continue
+		}
+		if !c.p.act(func() { c.carry(e) }) || c.state == nil {
+			return
+		}
+	}
+	if w.now%3000 == 0 {
+		c.flush()
+	}
+}
+
+func (c *releaser) permit(s *state, id string) (disruption.Permit, bool) {
+	if s == c.p.w.plane.state {
+		return c.p.w.plane.permit(id)
+	}
+	return s.ledger.Permit(id)
+}
+
+// look takes in which lists sidecars have.
+func (c *releaser) look(s *state, _ *supervisor.List) {
+	if c.state.Plan.Kind() != disruption.Server {
+		return
+	}
+	var living []string
+	has := make(map[string]uint64, len(c.p.w.sidecars))
+	var drains []string
+	rev := uint64(0)
+	for _, id := range sorted(s.drains) {
+		drains = append(drains, id)
+		rev = max(rev, s.drains[id])
+	}
+	for _, u := range c.p.w.sidecars {
+		if k, is := s.ledger.Unit(u.ID); is && k.Condition != disruption.Lost {
+			living = append(living, u.name)
+			has[u.name] = u.car.list
+		}
+	}
+	c.empty.Look(c.p.w.now-c.begun+1, drains, rev, living, has)
+}
+
+// verdict is the watch's, of what requests met in the second before.
+func (c *releaser) verdict(l *supervisor.List) judge.Verdict {
+	w := c.p.w
+	if w.traffic == nil || c.state.Plan.What.Server == "" || c.state.Drain {
+		return judge.Verdict{Kind: judge.Pass}
+	}
+	if w.now-c.seen >= 1000 {
+		c.seen = w.now
+		c.watch.Add(c.state, w.traffic.interval(c.state))
+	}
+	return c.watch.Verdict(c.state)
+}
+
+// call asks the platform, all requests at once.
+func (c *releaser) call(effects []release.Effect) bool {
+	w := c.p.w
+	var reqs []supervisor.Request
+	for _, e := range effects {
+		if do, is := e.(release.Do); is && len(reqs) < supervisor.MostRequests {
+			r := do.Request
+			if r.Op == supervisor.Start && r.Config != "" {
+				r.File = r.Config
+			}
+			reqs = append(reqs, r)
+		}
+	}
+	if len(reqs) == 0 {
+		return true
+	}
+	answers := c.answers
+	return c.p.act(func() {
+		w.judge.asked(reqs)
+		out, err := w.platform.Do(context.Background(), reqs...)
+		if err != nil {
+			return
+		}
+		for _, o := range out {
+			answers[o.ID] = o
+		}
+	})
+}
+
+// carry does one effect but a call.
+func (c *releaser) carry(e release.Effect) {
+	w, token := c.p.w, c.token
+	switch e := e.(type) {
+	case release.Ledger:
+		op := e.Op
+		a, known := c.p.write(token, func() (string, string) { return w.plane.ledgerOp(&op) })
+		if known && op.Kind == disruption.OpAsk {
+			delete(c.denied, op.Permit.ID)
+			if a.outcome != string(disruption.Done) && a.outcome != stale {
+				c.denied[op.Permit.ID] = a.why
+			}
+		}
+	case release.Terminate:
+		c.p.write(token, func() (string, string) { return w.terminate(e.Unit), "" })
+	case release.Restore:
+		c.p.write(token, func() (string, string) {
+			delete(w.plane.drains, e.Unit)
+			w.by[e.Unit].active = true
+			return okay, ""
+		})
+	case release.Write:
+		if w.opt.Bugs.WrittenAfter {
+			if c.state.Apply(e.Delta) == nil {
+				c.late = append(c.late, e.Delta)
+			}
+			return
+		}
+		c.put(e.Delta)
+	}
+}
+
+// put writes a step. Where it is not known whether it got there, the log is read again.
+func (c *releaser) put(d release.Delta) {
+	w := c.p.w
+	a, known := c.p.write(c.token, func() (string, string) {
+		if err := w.plane.releases.Apply(w.plane.rev, &release.Op{Name: c.name, Step: &d}); err != nil {
+			return "refused", err.Error()
+		}
+		return okay, ""
+	})
+	if !known || a.outcome != okay || c.state == nil || c.state.Apply(d) != nil {
+		c.state = nil
+	}
+}
+
+// flush writes what a planted fault has put off.
+func (c *releaser) flush() {
+	w := c.p.w
+	for _, d := range c.late {
+		c.p.write(c.token, func() (string, string) {
+			if err := w.plane.releases.Apply(w.plane.rev, &release.Op{Name: c.name, Step: &d}); err != nil {
+				return "refused", err.Error()
+			}
+			return okay, ""
+		})
+	}
+	c.late = nil
+}
+
+// terminate sets a server to Terminating in the list.
+func (w *world) terminate(id string) string {
+	u := w.by[id]
+	if w.plane.drains[id] == 0 && u.alive && u.ready <= w.now {
+		w.judge.taken(u, "set to Terminating")
+		w.plane.drains[id] = w.plane.rev
+		u.active = true
+	}
+	return okay
+}
+
+// free is the planted fault of permits that end with their owner's lease.
+func (w *world) free(owner string) {
+	for _, m := range w.plane.ledger.Permits() {
+		if m.Owner == owner && !over(m.Stage) && m.Stage != disruption.Asked {
+			w.plane.rev++
+			w.plane.ledger.Apply(w.plane.rev, &disruption.Op{Kind: disruption.OpRelease, Owner: "operator/ops", Permit: &disruption.Permit{ID: m.ID}})
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/night/spreader.go
@@ -0,0 +1,157 @@
+package night
+
+import (
+	"fmt"
+
+	"milldeck/internal/disruption"
+	"milldeck/internal/placement"
+	"milldeck/internal/spread"
+)
+
+// What servers bear and how hot the hot key is: 300 servers' load, met by all sidecars.
+const (
+	bearMS   = 1000 // of work a second, each server
+	workMS   = 50   // a request
+	hotPart  = 0.15 // of what all servers bear
+	coldSpan = 10   // s over which cold work is judged
+)
+
+// spreader is the decider of hot keys.
+type spreader struct {
+	p     *process
+	token uint64
+	d     *spread.Decider
+}
+
+func (w *world) spreader(k int) *process {
+	return w.process(fmt.Sprintf("spread-%d", k), spread.Duty, func(p *process) controller { return &spreader{p: p} })
+}
+
+func (w *world) spreadConfig() spread.Config { return spread.Default(bearMS, workMS) }
+
+func (c *spreader) take(token uint64) {
+	d, err := spread.New(c.p.w.spreadConfig())
+	if err != nil {
+		panic(err) // the default can be
+	}
+	c.token, c.d = token, d
+	d.Sidecars(len(c.p.w.sidecars))
+	d.Servers(c.servers())
+	w := c.p.w
+	d.Resume(float64(w.now)/1000, w.plane.places.Whole(w.now+w.plane.leader.off).Entries)
+}
+
+func (c *spreader) servers() []spread.Server {
+	w := c.p.w
+	off := map[string]bool{}
+	for _, win := range w.plane.windows.Windows() {
+		if win.ToldMS != 0 {
+			for _, uid := range win.Servers {
+				off[uid] = true
+			}
+		}
+	}
+	list := make([]spread.Server, 0, len(w.servers))
+	for _, u := range w.servers {
+		k, _ := w.plane.ledger.Unit(u.ID)
+		if k.Condition == disruption.Lost {
+			continue
+		}
+		list = append(list, spread.Server{UID: u.name, Zone: u.Zone, Pod: u.Pod, Capacity: 1, Boot: float64(u.bootMS), KeptOff: off[u.name],
+			Ready: k.Condition == disruption.Up || k.Condition == disruption.Cold, Cold: k.Condition == disruption.Cold})
+	}
+	return list
+}
+
+// step decides once a second while there is a hot key or an entry is left of it.
+func (c *spreader) step() {
+	w := c.p.w
+	now := float64(w.now) / 1000
+	if w.now%1000 != 0 || c.p.cut > w.now || !w.heated() {
+		return
+	}
+	c.d.Servers(c.servers())
+	all := hotPart * bearMS * float64(len(w.servers))
+	for i, u := range w.sidecars {
+		if !u.alive || u.car.mute > w.now || w.opt.LoseReports > 0 && (uint64(i)*7919+uint64(w.now/1000))%100 < uint64(100*w.opt.LoseReports) {
+			continue
+		}
+		r := placement.Report{Name: u.name, Rev: u.car.rev, SpanMS: 1000, HeatAll: 2 * all / float64(len(w.sidecars))}
+		if w.hot() {
+			r.Heat = []placement.Heat{{Key: spread.Name(w.night.hotKey), Load: all / float64(len(w.sidecars))}}
+		}
+		c.d.Report(now, &r)
+	}
+	for _, e := range c.d.Decide(now) {
+		if !c.p.act(func() { c.carry(e) }) {
+			return
+		}
+	}
+}
+
+func (c *spreader) carry(e spread.Effect) {
+	w, d := c.p.w, c.d
+	op := &placement.Op{}
+	id := e.Drop
+	if e.Put != nil {
+		id = e.Put.ID
+		op.Set = []placement.Entry{*e.Put}
+	} else {
+		op.Drop = []string{e.Drop}
+	}
+	a, known := c.p.write(c.token, func() (string, string) {
+		op.NowMS = w.now + w.plane.leader.off
+		had := map[string]bool{}
+		if e.Put != nil {
+			for _, old := range w.plane.places.Whole(op.NowMS).Entries {
+				if old.ID == id {
+					for _, k := range old.Copies {
+						had[k.UID] = true
+					}
+				}
+			}
+		}
+		out, why := w.plane.places.Apply(w.plane.rev, spread.Duty, op)
+		if out == placement.Done && e.Put != nil {
+			w.judge.copies(e.Put, had)
+		}
+		return string(out), why
+	})
+	if known && a.outcome == string(placement.Done) {
+		d.Wrote(id, w.plane.rev)
+	}
+}
+
+// hot tells whether the key is hot now; heated, whether its spread may still stand.
+func (w *world) hot() bool {
+	return w.night != nil && w.now >= w.night.hotFrom && w.now < w.night.hotTo
+}
+
+func (w *world) heated() bool {
+	return w.night != nil && w.now >= w.night.hotFrom-3000 && w.now < w.night.hotTo+60_000
+}
+
+// copies: an entry is told, and its copies that were not there before are to be warmed.
+func (j *referee) copies(e *placement.Entry, had map[string]bool) {
+	cfg := j.w.spreadConfig()
+	added := 0
+	for _, k := range e.Copies {
+		if !had[k.UID] {
+			added++
+		}
+	}
+	sec := j.w.now / 1000
+	j.cold[sec] += float64(added) * cfg.ColdWork
+	sum := 0.0
+	for s := sec - coldSpan + 1; s <= sec; s++ {
+		sum += j.cold[s]
+	}
+	// A second of the budget may be saved up, and so may a second of the least.
+	rate := max(cfg.Budget*bearMS*float64(len(j.w.servers)), cfg.Least)
+	if sum > rate*(coldSpan+1) {
+		j.breaks(ruleSpread, fmt.Sprintf("%.0f ms of cold work within %d s, %.0f allowed", sum, coldSpan, rate*(coldSpan+1)))
+	}
+	if n := float64(len(e.Copies)); n > cfg.Copies*float64(len(j.w.servers)) {
+		j.breaks(ruleSpread, fmt.Sprintf("%.0f copies", n))
+	}
+}
--- /dev/null
+++ b/internal/lab/night/windows.go
@@ -0,0 +1,185 @@
+package night
+
+import (
+	"fmt"
+	"time"
+
+	"milldeck/internal/disruption"
+	"milldeck/internal/placement"
+	"milldeck/internal/window"
+	"milldeck/internal/window/contract"
+	"milldeck/internal/window/hours"
+)
+
+// windower is the controller of windows.
+type windower struct {
+	p     *process
+	clock clock
+	core  *window.Core
+	token uint64
+}
+
+const windowDuty = "window"
+
+func (w *world) windower(k int, c clock) *process {
+	return w.process(fmt.Sprintf("window-%d", k), windowDuty, func(p *process) controller { return &windower{p: p, clock: c} })
+}
+
+func (c *windower) take(token uint64) { c.core, c.token = window.NewCore(token), token }
+
+func (c *windower) now() window.Now {
+	return window.Now{MonoMS: c.p.w.now, WallMS: c.p.w.now + c.clock.off, UncertaintyMS: c.clock.unc}
+}
+
+func (c *windower) step() {
+	w, s := c.p.w, c.p.reads()
+	if w.now%1000 != 0 {
+		return
+	}
+	now := c.now()
+	v := &window.View{Rev: s.rev, Table: s.windows, Permits: map[string]disruption.Stage{}, Up: map[string]bool{}, Fleet: w.fleet}
+	draining := false
+	for _, win := range s.windows.Windows() {
+		draining = draining || win.Stage == window.Draining
+		if m, is := s.ledger.Permit(win.PermitID()); is && win.Attempt > 0 {
+			v.Permits[m.ID] = m.Stage
+		}
+		for _, uid := range win.Servers {
+			u, _ := s.ledger.Unit(disruption.UnitID(disruption.Server, uid))
+			v.Up[uid] = u.Condition == disruption.Up
+		}
+	}
+	for _, u := range w.sidecars {
+		k, is := s.ledger.Unit(u.ID)
+		if !is || k.Condition == disruption.Lost {
+			continue
+		}
+		v.Sidecars = append(v.Sidecars, u.name)
+		if draining && u.alive && u.ready <= w.now && u.car.mute <= w.now {
+			c.core.Heard(now, w.report(u))
+		}
+	}
+	effects, _ := c.core.Step(now, v)
+	for _, e := range effects {
+		if !c.p.act(func() { c.carry(e, now.Stamp()) }) {
+			return
+		}
+	}
+}
+
+// report is what a sidecar says of what it keeps off.
+func (w *world) report(u *unit) placement.Report {
+	r := placement.Report{Name: u.name, Rev: u.car.rev, Open: map[string]int{}}
+	for id, f := range u.car.forced {
+		if f.end > w.now {
+			r.Open[id] = 0
+			if f.drain > w.now {
+				r.Open[id] = 1
+			}
+		}
+	}
+	return r
+}
+
+// carry writes one effect.
+func (c *windower) carry(e window.Effect, stamp window.Stamp) {
+	w := c.p.w
+	core := c.core
+	a, known := c.p.write(c.token, func() (string, string) {
+		if e.Op != nil {
+			return w.plane.windowOp(e.Op, stamp)
+		}
+		return w.windowAct(e.Act)
+	})
+	if known {
+		core.Answered(c.now(), e, window.Outcome(a.outcome), a.why, w.plane.rev)
+	}
+}
+
+// windowAct is an act on the ledger; its outcome is told in the words of windows.
+func (w *world) windowAct(a *window.Act) (string, string) {
+	var units []string
+	for _, uid := range a.Servers {
+		units = append(units, disruption.UnitID(disruption.Server, uid))
+	}
+	op := &disruption.Op{Kind: a.Kind, Owner: windowDuty, Permit: &disruption.Permit{ID: a.ID}}
+	switch a.Kind {
+	case disruption.OpAsk:
+		op.Permit = &disruption.Permit{ID: a.ID, Owner: windowDuty, Purpose: a.Purpose, Units: units, Rank: a.Rank, End: disruption.ComesBack}
+	case disruption.OpSee:
+		op.Permit = nil
+		for _, id := range units {
+			if u := w.by[id]; w.serves(u) {
+				op.Seen = append(op.Seen, disruption.Unit{ID: id, Condition: disruption.Up})
+			}
+		}
+		if len(op.Seen) == 0 {
+			return string(window.Applied), ""
+		}
+	}
+	switch out, why := w.plane.ledgerOp(op); {
+	case out == string(disruption.Done):
+		return string(window.Applied), ""
+	case a.Kind == disruption.OpAsk:
+		return string(window.Bad), why
+	default:
+		return string(window.Held), why
+	}
+}
+
+// work is what the people and servers do that a window is for.
+func (w *world) work(op *window.Op) {
+	win := w.plane.windows.Window(op.Name)
+	if win == nil || op.Kind == window.OpTell || op.Kind == window.OpPlan {
+		return
+	}
+	switch {
+	case op.Kind == window.OpFree:
+		for _, uid := range win.Servers {
+			u := w.names[uid]
+			w.judge.taken(u, "worked on")
+			u.busy, u.active = true, true
+		}
+	case win.Out() && (win.Stage == window.Returning || win.Stage == window.Overrun):
+		ms := 3000 + w.rng.Int64N(12_000)
+		if w.opt.SlowReturn {
+			ms += 2 * 3600_000
+		}
+		for _, uid := range win.Servers {
+			u := w.names[uid]
+			if !u.busy {
+				continue
+			}
+			w.after(ms, func() {
+				u.busy, u.active = false, true
+				if u.alive {
+					u.warm = max(u.warm, w.now+warmMS)
+				}
+			})
+		}
+	}
+}
+
+// operate is an operator's write about windows.
+func (w *world) operate(op *window.Op) string {
+	at := w.now + w.plane.leader.off
+	w.writes++
+	a, known := w.plane.write(fmt.Sprintf("operator/%d", w.writes), "", 0, func() (string, string) {
+		return w.plane.windowOp(op, window.Stamp{ControllerMS: at, UncertaintyMS: 250})
+	})
+	if !known {
+		return "unknown"
+	}
+	return a.outcome
+}
+
+// agree sets a contract of the same hours each day, by the tenant's own clock, and tells the judge.
+func (w *world) agree(tenant, zone string, opens time.Time, length time.Duration) {
+	c := contract.Contract{Tenant: tenant, Notice: "0s", MinutesAMonth: 10_000, LeastShare: 0.5, WindowsAtOnce: 2, OnOverrun: contract.HaltOthers,
+		Spec: hours.Spec{Zone: zone, Open: []hours.Rule{{Rule: "FREQ=DAILY", Start: opens.Format("15:04"), Length: length.String(), From: "2020-01-01"}}}}
+	grant := window.NewPlanner().Grant(&window.Kept{Contract: c}, w.now, 0)
+	w.judge.agree(tenant, opens, length)
+	if out := w.operate(&window.Op{Kind: window.OpContract, Contract: &c, Grant: grant}); out != string(window.Applied) {
+		w.judge.breaks("hours", fmt.Sprintf("the contract of %s is %s", tenant, out))
+	}
+}
--- /dev/null
+++ b/internal/lab/night/world.go
@@ -0,0 +1,387 @@
+package night
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"milldeck/internal/disruption"
+	"milldeck/internal/placement"
+	"milldeck/internal/supervisor"
+	"milldeck/internal/supervisor/core"
+	"milldeck/internal/supervisor/fake"
+	"milldeck/internal/window"
+)
+
+// Times of the world in ms.
+const (
+	tickMS   = 500  // between two looks at everything
+	leaseMS  = 4000 // of servers and sidecars in the list
+	holdMS   = 60_000
+	readyMS  = 800  // from a process's start to its first answer
+	warmMS   = 3000 // of a server, from there
+	stopMS   = 700  // from SIGTERM to the end
+	longest  = 3000 // of a request, for the proof that a server is empty
+	massPart = 6    // one of so many missing at once is a loss of sight
+)
+
+// unit is what is true of a unit, whatever anybody knows of it.
+type unit struct {
+	disruption.Unit
+	name    string
+	version string // of the process that was started last
+	bootMS  int64
+	ready   int64 // when that process answers; far: never
+	warm    int64
+	cut     int64 // until when nobody reaches it
+	busy    bool  // a window's work is done on it
+	alive   bool
+	lost    int64 // since when it does not show; 0: it does
+	active  bool  // something about it is under way
+	gone    bool  // it is to be out at the end
+	car     *sidecar
+	judged  judged
+}
+
+// sidecar is what a sidecar knows and has been told.
+type sidecar struct {
+	clock
+	mute   int64 // until when its agent reaches nobody
+	lag    int64
+	rev    uint64 // of the placement
+	epoch  uint64
+	list   uint64
+	forced map[string]*forced
+	heat   float64 // part of the hot key's load that it meets
+}
+
+// forced is an entry that a sidecar follows.
+type forced struct {
+	tenant     string
+	since, end int64
+	drain      int64 // when its last request there is answered
+}
+
+type timer struct {
+	at int64
+	do func()
+}
+
+// world is a night.
+type world struct {
+	opt      Options
+	rng      *rand.Rand
+	now      int64 // true Unix ms
+	begin    int64
+	plane    *plane
+	platform *fake.Platform
+	units    []*unit // servers first
+	servers  []*unit
+	sidecars []*unit
+	by       map[string]*unit // by ledger's id
+	names    map[string]*unit
+	timers   []timer
+	procs    []*process
+	judge    *referee
+	fleet    window.Fleet
+	topToken uint64
+	outs     map[string]int // by budget, a second ago: for a planted fault
+	powerOff map[string]int64
+	traffic  *traffic
+	night    *nightPlan
+	seed     uint64
+	calls    int
+	moved    uint64 // revision of the placement or the list that sidecars were last walked for
+	walkTo   int64
+	heatAt   int64
+	writes   int
+}
+
+const far = int64(1) << 60
+
+// never marks versions that do not come up.
+const (
+	goodVersion  = "2"
+	deadVersion  = "3" // fails at start
+	neverVersion = "4" // is never ready
+)
+
+func newWorld(seed uint64, opt Options) *world {
+	w := &world{opt: opt, seed: seed, rng: rand.New(rand.NewPCG(seed, 18)), by: map[string]*unit{}, names: map[string]*unit{}, fleet: window.Fleet{},
+		powerOff: map[string]int64{}, outs: map[string]int{}}
+	w.now = opt.Start
+	w.begin = w.now
+	w.judge = newJudge(w)
+	w.plane = newPlane(w)
+	w.plane.leader = w.goodClock()
+	versions := map[core.Version]fake.Version{}
+	for _, kind := range []supervisor.Kind{supervisor.Server, supervisor.Sidecar} {
+		for _, v := range []string{"1", goodVersion, deadVersion, neverVersion} {
+			versions[core.Version{Kind: kind, Name: v}] = fake.Version{Rules: core.Rules{GraceMS: 10_000, Restarts: 3}, Behave: w.behave}
+		}
+	}
+	w.platform = fake.New(fake.Options{Versions: versions}, w.now)
+	for _, b := range opt.budgets() {
+		w.plane.rev++
+		w.plane.ledger.Apply(w.plane.rev, &disruption.Op{Kind: disruption.OpBudget, Owner: "operator/ops", Budget: &b})
+	}
+	for i := range opt.Servers {
+		u := &unit{name: fmt.Sprintf("s%04d", i)}
+		zone := i * len(zones) / opt.Servers
+		u.Unit = disruption.Unit{Kind: disruption.Server, Zone: zones[zone], Model: "m" + fmt.Sprint(i%4), Pod: i / 10, Capacity: 1}
+		u.Tenants = [][]string{{"portal"}, {"teller"}, {"portal", "teller"}, {"island"}}[i/10%4]
+		w.fleet[u.name] = u.Tenants
+		w.addUnit(u)
+	}
+	for i := range opt.Sidecars {
+		u := &unit{name: fmt.Sprintf("c%04d", i), car: &sidecar{clock: w.goodClock(), lag: w.rng.Int64N(900), forced: map[string]*forced{}}}
+		u.Unit = disruption.Unit{Kind: disruption.Sidecar, Zone: zones[i*len(zones)/opt.Sidecars], Capacity: 1}
+		w.addUnit(u)
+	}
+	list := w.list()
+	for _, u := range w.units {
+		w.platform.Do(context.Background(), supervisor.Request{ID: "first-" + u.name, Op: supervisor.Start, Memory: list.Memory, Unit: u.name,
+			Kind: supervisor.Kind(u.Kind), Version: "1", Config: "c1", File: "c1", Listen: "127.0.0.1:7000", Zone: u.Zone})
+	}
+	for range 16 {
+		w.tick()
+	}
+	w.judge.start()
+	w.begin = w.now
+	return w
+}
+
+func (w *world) addUnit(u *unit) {
+	u.ID = disruption.UnitID(u.Kind, u.name)
+	w.units = append(w.units, u)
+	if u.Kind == disruption.Server {
+		w.servers = append(w.servers, u)
+	} else {
+		w.sidecars = append(w.sidecars, u)
+	}
+	w.by[u.ID], w.names[u.name] = u, u
+}
+
+func (w *world) goodClock() clock { return clock{w.rng.Int64N(400) - 200, 250} }
+
+// after has something happen in some ms.
+func (w *world) after(ms int64, do func()) {
+	w.timers = append(w.timers, timer{w.now + max(ms, 1), do})
+}
+
+// list is the platform's list; nil where it does not answer.
+func (w *world) list() *supervisor.List {
+	l, err := w.platform.List(context.Background())
+	if err != nil {
+		return nil
+	}
+	return l
+}
+
+// behave is told of each launch by the platform.
+func (w *world) behave(p supervisor.Unit) fake.Life {
+	u := w.names[p.Name]
+	w.judge.launched(u, p.Version, p.Incarnation)
+	u.version, u.bootMS, u.active = p.Version, w.now, true
+	u.ready = w.now + readyMS
+	life := fake.Life{ReadyMS: readyMS, StopMS: stopMS}
+	if off := w.powerOff[u.Zone]; off > w.now {
+		life.ReadyMS += off - w.now
+		u.ready = off + readyMS
+	}
+	switch p.Version {
+	case deadVersion:
+		u.ready, life.ReadyMS, life.EndsMS, life.Exit = far, -1, 100, "exit status 1"
+	case neverVersion:
+		u.ready = far // the platform's own check is met, the list's is not
+	}
+	u.warm = u.ready
+	if u.Kind == disruption.Server && u.ready != far {
+		u.warm += warmMS
+	}
+	if u.car != nil { // it begins anew, and knows nothing
+		w.lapseAll(u)
+		u.car.rev, u.car.epoch, u.car.list = 0, 0, 0
+	}
+	return life
+}
+
+// serves is the truth about a unit.
+func (w *world) serves(u *unit) bool {
+	return u.alive && u.ready <= w.now && u.warm <= w.now && u.cut <= w.now && !u.busy && w.plane.drains[u.ID] == 0
+}
+
+// tick has everything happen that is due within the next tickMS.
+func (w *world) tick() {
+	w.now += tickMS
+	w.platform.Advance(w.now)
+	for i := 0; i < len(w.timers); i++ { // one may set others
+		if t := w.timers[i]; t.do != nil && t.at <= w.now {
+			w.timers[i].do = nil
+			t.do()
+		}
+	}
+	w.timers = slices.DeleteFunc(w.timers, func(t timer) bool { return t.do == nil })
+	missing := map[disruption.Kind]int{}
+	for _, u := range w.units {
+		if alive := w.platform.Alive(u.name) > 0; alive != u.alive {
+			u.alive, u.active = alive, true
+			if !alive && u.car != nil {
+				w.lapseAll(u)
+			}
+		}
+		if u.lost != 0 {
+			missing[u.Kind]++
+		}
+	}
+	for _, u := range w.units {
+		if u.active {
+			w.show(u, missing[u.Kind])
+		}
+		if u.active || !u.judged.in {
+			w.judge.see(u)
+		}
+	}
+	for i := range w.procs {
+		w.procs[i].step()
+	}
+	w.walk()
+	w.plane.look()
+	w.judge.grants()
+}
+
+// show has a unit seen by the list service, or not.
+func (w *world) show(u *unit, missing int) {
+	p := w.plane
+	if !p.leads() {
+		return
+	}
+	shows := u.alive && u.cut <= w.now && (u.car == nil || u.car.mute <= w.now)
+	if !shows {
+		if u.lost == 0 {
+			u.lost = w.now
+		}
+		known, is := p.ledger.Unit(u.ID)
+		since := max(u.lost, p.since)
+		switch all := len(w.servers); {
+		case !is || known.Condition == disruption.Lost || w.now-since < leaseMS:
+		case u.car == nil && missing*massPart > all && w.now-since < holdMS:
+			if known.Condition != disruption.Unseen {
+				p.rev++
+				p.ledger.Unsee(p.rev, u.ID)
+			}
+		default:
+			p.rev++
+			p.ledger.Lose(p.rev, u.ID)
+			if u.gone {
+				delete(p.drains, u.ID)
+			}
+		}
+		return
+	}
+	u.lost = 0
+	known, is := p.ledger.Unit(u.ID)
+	n := u.Unit
+	n.Version, n.Condition, n.BootMS = u.version, disruption.Up, float64(u.bootMS)
+	if is && known.BootMS != n.BootMS && p.drains[u.ID] != 0 {
+		delete(p.drains, u.ID) // it registers anew
+		p.rev++
+	}
+	switch {
+	case u.ready > w.now || u.busy:
+		n.Condition = disruption.Unready
+	case p.drains[u.ID] != 0:
+		n.Condition = disruption.Draining
+	}
+	p.rev++
+	p.ledger.Register(p.rev, n)
+	known, _ = p.ledger.Unit(u.ID)
+	found := n.Condition
+	if found == disruption.Up && u.warm > w.now {
+		found = disruption.Cold
+	}
+	if found != disruption.Draining && known.Condition != found {
+		p.rev++
+		p.ledger.Apply(p.rev, &disruption.Op{Kind: disruption.OpSee, Owner: "prober", Seen: []disruption.Unit{{ID: u.ID, Condition: found}}})
+		known, _ = p.ledger.Unit(u.ID)
+	}
+	u.active = u.ready > w.now && u.ready != far || u.warm > w.now && u.warm != far || known.Condition != found
+}
+
+// walk has sidecars take in what their agents have, and end what is over.
+func (w *world) walk() {
+	if rev := max(w.plane.places.Rev(), w.plane.rev); rev != w.moved {
+		w.moved, w.walkTo = rev, w.now+3000
+	}
+	if w.now > w.walkTo && w.now%5000 != 0 {
+		return
+	}
+	leader := w.now + w.plane.leader.off
+	whole := w.plane.places.Whole(leader)
+	for _, u := range w.sidecars {
+		c := u.car
+		for _, id := range sorted(c.forced) {
+			if f := c.forced[id]; f.end <= w.now {
+				w.lapse(u, id, f.end)
+			}
+		}
+		if !u.alive || u.ready > w.now || c.mute > w.now || w.now%1000 < c.lag%1000-tickMS {
+			continue
+		}
+		c.list = w.plane.rev
+		if c.rev == whole.Rev && c.epoch == whole.Epoch {
+			continue
+		}
+		had := c.rev
+		if c.epoch != whole.Epoch {
+			had = 0
+		}
+		c.rev, c.epoch = whole.Rev, whole.Epoch
+		told := map[string]bool{}
+		for i := range whole.Entries {
+			if e := &whole.Entries[i]; e.Kind == placement.KeepOff {
+				told[e.ID] = true
+				if e.Rev > had || c.forced[e.ID] == nil {
+					w.force(u, e, e.UntilMS-leader)
+				}
+			}
+		}
+		for _, id := range sorted(c.forced) {
+			if !told[id] {
+				w.lapse(u, id, w.now)
+			}
+		}
+	}
+}
+
+// force has a sidecar follow an entry: until its own clock says that it is over, or what was left of it has passed.
+func (w *world) force(u *unit, e *placement.Entry, left int64) {
+	c := u.car
+	end := min(e.UntilMS-c.off, w.now+left)
+	f := c.forced[e.ID]
+	if f != nil && f.end <= w.now {
+		w.lapse(u, e.ID, f.end)
+		f = nil
+	}
+	if end <= w.now {
+		return
+	}
+	if f == nil {
+		f = &forced{tenant: e.Tenant, since: w.now, drain: w.now + 1000 + w.rng.Int64N(8000)}
+		c.forced[e.ID] = f
+	}
+	f.end = end
+}
+
+func (w *world) lapse(u *unit, id string, at int64) {
+	f := u.car.forced[id]
+	delete(u.car.forced, id)
+	w.judge.kept(u, f.tenant, f.since, min(f.end, at))
+}
+
+func (w *world) lapseAll(u *unit) {
+	for _, id := range sorted(u.car.forced) {
+		w.lapse(u, id, w.now)
+	}
+}
