--- a/internal/lab/night/faults.go
+++ b/internal/lab/night/faults.go
@@ -149,7 +149,10 @@
 	const hour = 3600_000
 	off := func() int64 { return r.Int64N(2*hour) - hour }
 	for range max(len(w.sidecars)/100, 1) {
-		w.sidecars[r.IntN(len(w.sidecars))].car.off = off()
+		c := w.sidecars[r.IntN(len(w.sidecars))].car // one that is wrong keeps off for no time, and no window is empty of it
+		old, o := c.off, off()
+		c.off = o
+		w.after(busyMS, func() { c.off = old })
 	}
 	switch o := off(); r.IntN(4) {
 	case 0:
--- a/internal/lab/night/judge.go
+++ b/internal/lab/night/judge.go
@@ -135,8 +135,9 @@
 	fresh := p.fresh
 	p.fresh = nil
 	for _, id := range sorted(j.held) {
-		if _, is := p.at[id]; !is && j.held[id].judged.in { // given back before anything was done
-			j.held[id].judged.held = false
+		u := j.held[id]
+		if _, is := p.at[id]; !is && (u.judged.in || u.gone && !u.alive) { // given back before anything was done, or drained
+			u.judged.held = false
 			delete(j.held, id)
 		}
 	}
@@ -147,14 +148,16 @@
 	for _, m := range fresh {
 		for _, id := range m.Units {
 			if u := j.w.by[id]; u != nil {
+				if u.judged.in { // who is out already is not taken out
+					hit[u] = m.ID
+				}
 				u.judged.held, u.judged.wasOut = true, !u.judged.in
 				j.held[id] = u
-				hit[u] = m.ID
 			}
 		}
 	}
 	for _, b := range j.w.opt.budgets() {
-		n, by := 0, ""
+		n, by, outs := 0, "", []string(nil)
 		for _, u := range j.w.units {
 			if !b.Select.Selects(&u.Unit) {
 				continue
@@ -164,17 +167,23 @@
 			}
 			if j.out(u) {
 				n++
+				if len(outs) < 12 {
+					outs = append(outs, fmt.Sprintf("%s since %.0f s, granted %v", u.name, float64(u.judged.since-j.w.begin)/1000, u.judged.held))
+				}
 			}
 		}
 		if by != "" && n > *b.MaxOut.Count {
-			j.breaks(ruleBudget, fmt.Sprintf("%s is granted, and %d of %s are out, %d allowed", by, n, b.Name, *b.MaxOut.Count))
+			j.breaks(ruleBudget, fmt.Sprintf("%s is granted, and %d of %s are out, %d allowed: %s", by, n, b.Name, *b.MaxOut.Count, strings.Join(outs, ", ")))
 		}
 	}
 }
 
 // out tells whether a unit counts as out, as far as it can be known.
 func (j *referee) out(u *unit) bool {
-	if u.judged.held {
+	switch {
+	case u.gone && !u.alive && !u.judged.held:
+		return false // it has left for good
+	case u.judged.held:
 		return true
 	}
 	return !u.judged.in && j.w.plane.leads() && j.w.now-max(u.judged.since, j.w.plane.since) > sightMS
@@ -314,6 +323,16 @@
 			j.breaks(ruleStranded, fmt.Sprintf("%s is on version %s, should be on %s", u.ID, u.version, version))
 		}
 	}
+	for _, win := range w.plane.windows.Windows() {
+		if win.Out() {
+			p, _ := w.plane.permit(win.PermitID())
+			j.breaks(ruleStranded, fmt.Sprintf("window %s is %s at the end: %s, permit %s", win.Name, win.Stage, win.Why, p.Stage))
+			for _, uid := range win.Servers {
+				k, _ := w.plane.ledger.Unit(disruption.UnitID(disruption.Server, uid))
+				j.breaks(ruleStranded, fmt.Sprintf("%s serves %v, ledger %+v, permit out %d back %d", uid, w.names[uid].judged.in, k, p.OutAt, p.BackAt))
+			}
+		}
+	}
 	for _, u := range w.sidecars {
 		w.lapseAll(u)
 	}
@@ -325,7 +344,9 @@
 	for i := range s.Units {
 		if u := &s.Units[i]; u.Stage != release.Rest && u.Stage != release.Todo && len(out) < 3 {
 			k, _ := w.plane.ledger.Unit(u.ID)
-			out = append(out, fmt.Sprintf("%s %s %s (ledger: %s)", u.ID, u.Stage, u.Why, k.Condition))
+			m, _ := w.plane.permit(s.PermitID(u))
+			out = append(out, fmt.Sprintf("%s %s back %v %s (ledger: %s, permit %s of revision %d, out at %d, undone %v)", u.ID, u.Stage, u.Back, u.Why,
+				k.Condition, m.Stage, m.GotAt, m.OutAt, m.Undone))
 		}
 	}
 	halts := w.plane.ledger.Halts()
--- a/internal/lab/night/log.go
+++ b/internal/lab/night/log.go
@@ -241,6 +241,8 @@
 	p.places.Begin(p.rev, p.epoch)
 	p.ledger.Doubt(p.rev, "the list was restored from a backup")
 	p.got, p.at, p.atRev = map[string]uint64{}, map[string]disruption.Permit{}, 0
+	p.look()
+	p.fresh = nil // what was granted before the backup is not granted anew
 }
 
 // over tells whether a permit holds nothing any more.
--- a/internal/lab/night/night.go
+++ b/internal/lab/night/night.go
@@ -77,6 +77,8 @@
 	bad            string // version of the release of servers
 	quiet          int64  // from when on no fault is left
 	fits           bool
+	wish           *window.Op
+	asked          bool
 	faults         []string
 }
 
@@ -280,8 +282,11 @@
 	try = func() {
 		if w.operate(op) != string(window.Applied) {
 			w.after(10_000, try)
+			return
 		}
+		w.night.asked = true
 	}
+	w.night.wish = op
 	try()
 }
 
@@ -320,7 +325,7 @@
 		}
 		for i := range s.Units {
 			u := &s.Units[i]
-			claimed[u.ID] = !h.Phase.Over()
+			claimed[u.ID] = !h.Phase.Over() && u.Stage != release.Todo && u.Stage != release.Rest
 			if h.Phase.Over() && u.Stage == release.Lost {
 				p.rev++
 				p.ledger.Apply(p.rev, &disruption.Op{Kind: disruption.OpRelease, Owner: "operator/ops", Permit: &disruption.Permit{ID: s.PermitID(u)}})
@@ -335,6 +340,9 @@
 			w.operate(&window.Op{Kind: window.OpResume, Scope: "window/" + win.Name})
 		}
 	}
+	if w.night.asked && len(p.windows.Windows()) == 0 { // a restore has lost it
+		w.operate(w.night.wish)
+	}
 	w.mend(claimed)
 }
 
--- a/internal/lab/night/night_test.go
+++ b/internal/lab/night/night_test.go
@@ -16,7 +16,7 @@
 		for _, b := range r.First {
 			t.Errorf("seed %d at %.1f s: %s: %s", seed, b.AtS, b.Rule, b.What)
 		}
-		if r.Broken > 0 {
+		if r.Broken > 0 && testing.Verbose() {
 			for _, f := range r.Faults {
 				t.Log(f)
 			}
--- a/internal/lab/night/release.go
+++ b/internal/lab/night/release.go
@@ -99,7 +99,7 @@
 
 // look takes in which lists sidecars have.
 func (c *releaser) look(s *state, _ *supervisor.List) {
-	if c.state.Plan.Kind() != disruption.Server {
+	if !c.state.Drain && c.state.Plan.Kind() != disruption.Server {
 		return
 	}
 	var living []string
--- a/internal/lab/night/windows.go
+++ b/internal/lab/night/windows.go
@@ -41,12 +41,13 @@
 	draining := false
 	for _, win := range s.windows.Windows() {
 		draining = draining || win.Stage == window.Draining
-		if m, is := s.ledger.Permit(win.PermitID()); is && win.Attempt > 0 {
+		m, is := s.ledger.Permit(win.PermitID())
+		if is && win.Attempt > 0 {
 			v.Permits[m.ID] = m.Stage
 		}
-		for _, uid := range win.Servers {
+		for _, uid := range win.Servers { // what was seen before they were to come back says nothing
 			u, _ := s.ledger.Unit(disruption.UnitID(disruption.Server, uid))
-			v.Up[uid] = u.Condition == disruption.Up
+			v.Up[uid] = u.Condition == disruption.Up && (!is || over(m.Stage) || u.Rev > m.OutAt || m.Stage == disruption.Returning && u.Seen > m.BackAt)
 		}
 	}
 	for _, u := range w.sidecars {
