Release: a sidecar's permit that was cancelled before any act is settled by what is seen

Cause: the list tells the ledger of changes alone. A halt between a permit's begin and the first act leaves a sidecar as it was, so no evidence later than the begin ever came, the permit stayed returning, and the release stood still for good.

The controller tells the ledger what it sees at the platform before it settles. Its test's world registers units as the list service does; it failed at each tick between begin and stop.

--- a/internal/release/cases_test.go
+++ b/internal/release/cases_test.go
@@ -343,3 +343,24 @@
 		t.Errorf("the window's permit is %s", p.Stage)
 	}
 }
+
+// A halt between a permit's begin and the first act: nothing was done to the sidecar, so nothing about it changes either.
+// Its permit is settled all the same.
+func TestAHaltBeforeTheFirstActSettles(t *testing.T) {
+	for at := range 12 {
+		w := newWorld(t, disruption.Sidecar, 2, 3, 2)
+		w.quiet = true
+		w.start(strings.Replace(strings.Replace(serverPlan, "server =", "sidecar =", 1), `"back"`, `"hold"`, 1))
+		s, _ := w.run("r", &kill{at: -1}, 400, func(i int, s *State) {
+			if i == at {
+				tell(t, w, CmdHalt)
+			}
+			if i == at+100 && s.Head.Phase == Held {
+				tell(t, w, CmdResume)
+			}
+		})
+		if s.Head.Phase != Done {
+			t.Errorf("halted at tick %d and resumed: %s, %+v", at, s.Head.Phase, s.Units[0])
+		}
+	}
+}
--- a/internal/release/drive/drive.go
+++ b/internal/release/drive/drive.go
@@ -238,6 +238,7 @@
 	_, err := t.Store.Ledger(ctx, registry.Write{Guard: t.guard}, op)
 	var status *registry.StatusError
 	switch {
+	case op.Permit == nil: // what was seen; it is told again where it has not got there
 	case err == nil:
 		delete(t.denied, op.Permit.ID)
 	case op.Kind == disruption.OpAsk && errors.As(err, &status) && (status.Status == http.StatusConflict || status.Status == http.StatusNotFound):
--- a/internal/release/unit.go
+++ b/internal/release/unit.go
@@ -342,10 +342,26 @@
 	case !p.Undone:
 		c.ledger(disruption.OpCancel, u)
 	case seen && d.Condition == disruption.Up:
+		if c.s.ledgerKind() == disruption.Sidecar {
+			c.see(u, d)
+		}
 		c.ledger(disruption.OpSettle, u)
 	}
 }
 
+// see tells the ledger that a sidecar under whose permit nothing was done runs on as before. The list tells of changes
+// alone, and here there was none, so that no other evidence would ever come.
+func (c *stepper) see(u *Unit, d disruption.Unit) {
+	l := c.v.Platform
+	if l == nil {
+		return
+	}
+	if at := l.Find(u.Name); at != nil && at.State == supervisor.Running {
+		c.do(Ledger{disruption.Op{Kind: disruption.OpSee, Owner: Owner(c.s.Name),
+			Seen: []disruption.Unit{{ID: u.ID, Condition: disruption.Up, Rev: d.Rev}}}})
+	}
+}
+
 // fails notes a start that came to nothing. It is tried again; then the unit has failed.
 func (c *stepper) fails(u *Unit, why string) {
 	u.Fails++
--- a/internal/release/world_test.go
+++ b/internal/release/world_test.go
@@ -50,6 +50,7 @@
 	verdict  func(*State) judge.Verdict
 	most     int // units truly out at once, most of all moments
 	bugs     bugs
+	quiet    bool // units are told of to the ledger where something has changed alone, as the list service does
 }
 
 // bugs are planted.
@@ -184,7 +185,10 @@
 			if u.terminating {
 				n.Condition = disruption.Draining
 			}
-			w.ledger.Register(w.rev, n)
+			if !w.quiet || !is || known.BootMS != n.BootMS || known.Version != n.Version ||
+				(known.Condition == disruption.Draining || known.Condition == disruption.Lost) != u.terminating {
+				w.ledger.Register(w.rev, n)
+			}
 			if known, _ = w.ledger.Unit(id); n.Condition == disruption.Up && known.Condition != disruption.Up && u.cold <= w.now {
 				w.op(&disruption.Op{Kind: disruption.OpSee, Owner: "prober", Seen: []disruption.Unit{{ID: id, Condition: disruption.Up}}})
 			}
