--- a/internal/lab/night/faults.go
+++ b/internal/lab/night/faults.go
@@ -73,6 +73,11 @@
 		w.fault(t+5000+r.Int64N(60_000), "restore from it", func() {
 			w.judge.restore = w.now
 			w.plane.restore()
+			for _, t := range tenants { // whoever restores sets again first what was withdrawn since the backup
+				if list := w.judge.hours[t.name]; list[len(list)-1].length == 0 && w.plane.windows.Contract(t.name) != nil {
+					w.operate(&window.Op{Kind: window.OpWithdraw, Tenant: t.name})
+				}
+			}
 			for _, u := range w.units {
 				u.active = true
 			}
--- a/internal/lab/night/judge.go
+++ b/internal/lab/night/judge.go
@@ -35,10 +35,11 @@
 type judged struct {
 	in      bool
 	since   int64 // of its being out
+	inFrom  int64 // of its being in
 	held    bool  // a grant takes it out
 	wasOut  bool  // since that grant
 	told    bool  // its process was told to end
-	ready   bool  // its process was in once
+	ready   bool  // and served then for a while
 	version string
 	inc     uint64
 }
@@ -115,7 +116,7 @@
 			d.held = false
 			delete(j.held, u.ID)
 		}
-		d.ready = true
+		d.inFrom = j.w.now
 	case !in && d.in:
 		d.since = j.w.now
 	}
@@ -132,6 +133,9 @@
 // grants looks at what was granted since the last look.
 func (j *referee) grants() {
 	p := j.w.plane
+	for _, name := range p.releases.Names() {
+		j.phase(name)
+	}
 	fresh := p.fresh
 	p.fresh = nil
 	for _, id := range sorted(j.held) {
@@ -148,7 +152,7 @@
 	for _, m := range fresh {
 		for _, id := range m.Units {
 			if u := j.w.by[id]; u != nil {
-				if u.judged.in { // who is out already is not taken out
+				if u.judged.in && u.lost == 0 { // who is out already, or cannot be seen and counts as out, is not taken out
 					hit[u] = m.ID
 				}
 				u.judged.held, u.judged.wasOut = true, !u.judged.in
@@ -168,7 +172,8 @@
 			if j.out(u) {
 				n++
 				if len(outs) < 12 {
-					outs = append(outs, fmt.Sprintf("%s since %.0f s, granted %v", u.name, float64(u.judged.since-j.w.begin)/1000, u.judged.held))
+					outs = append(outs, fmt.Sprintf("%s since %.1f s, granted %v, in %v from %.1f s", u.name, float64(u.judged.since-j.w.begin)/1000, u.judged.held, u.judged.in,
+						float64(u.judged.inFrom-j.w.begin)/1000))
 				}
 			}
 		}
@@ -208,6 +213,10 @@
 		if !u.judged.told {
 			j.taken(u, "stopped")
 		}
+		// One that has only just come up may have been given up a moment before.
+		if !u.judged.told {
+			u.judged.ready = u.judged.in && j.w.now-u.judged.inFrom > sightMS
+		}
 		u.judged.told = true
 	}
 }
@@ -230,6 +239,7 @@
 		s, _ := j.w.plane.releases.Get(name)
 		for i := range s.Units {
 			if s.Units[i].ID == u.ID {
+				j.phase(name)
 				return name
 			}
 		}
@@ -237,6 +247,13 @@
 	return ""
 }
 
+// phase notes whether a release is, or was, sent elsewhere than forward: what was stopped then starts as it was.
+func (j *referee) phase(name string) {
+	if s, _ := j.w.plane.releases.Get(name); s.Head.Phase != release.Forward && s.Head.Phase != release.Done {
+		j.halted[name] = true
+	}
+}
+
 // agree has a tenant's hours be others from now on.
 func (j *referee) agree(tenant string, opens time.Time, length time.Duration) {
 	j.hours[tenant] = append(j.hours[tenant], open{j.w.now, opens, length})
--- a/internal/lab/night/night.go
+++ b/internal/lab/night/night.go
@@ -312,9 +312,6 @@
 	for _, name := range p.releases.Names() {
 		s, cmds := p.releases.Get(name)
 		h := s.Head
-		if h.Phase != release.Forward && h.Phase != release.Done {
-			w.judge.halted[name] = true
-		}
 		if h.Phase == release.Held && h.Commands == len(cmds) {
 			what := release.CmdResume
 			if len(cmds) > 20 && !s.Drain { // it does not get on: people give up
--- a/internal/lab/night/process.go
+++ b/internal/lab/night/process.go
@@ -74,7 +74,6 @@
 
 func (p *process) step() {
 	w := p.w
-	p.lease()
 	if p.dead || p.frozen > w.now {
 		return
 	}
@@ -92,22 +91,23 @@
 	}
 }
 
-// lease is the leader's part: a holder that has not shown for the length of its lease loses the duty.
-func (p *process) lease() {
-	l := p.w.plane
+// leases is the leader's part: a holder that has not shown for the length of its lease loses the duty.
+func (l *plane) leases() {
 	if !l.leads() {
 		return
 	}
-	d, is := l.duties.Get(p.duty)
-	if !is || d.Holder != p.id() || p.w.now-l.renewed[p.duty] < ttlMS {
-		return
-	}
-	l.rev++
-	l.duties.Apply(l.rev, &table.Op{Kind: table.Lapse, Name: p.duty, Who: p.id(), Token: d.Token})
-	if p.w.opt.Bugs.LeaseFrees {
-		p.w.free(p.duty)
+	for _, duty := range sorted(l.renewed) {
+		d, is := l.duties.Get(duty)
+		if !is || d.Holder == "" || l.w.now-l.renewed[duty] < ttlMS {
+			continue
+		}
+		l.rev++
+		l.duties.Apply(l.rev, &table.Op{Kind: table.Lapse, Name: duty, Who: d.Holder, Token: d.Token})
+		if l.w.opt.Bugs.LeaseFrees {
+			l.w.free(duty)
+		}
+		l.renewed[duty] = l.w.now
 	}
-	l.renewed[p.duty] = p.w.now
 }
 
 func (p *process) id() string { return fmt.Sprintf("%s.%d", p.name, p.n) }
--- a/internal/lab/night/world.go
+++ b/internal/lab/night/world.go
@@ -88,6 +88,8 @@
 	topToken uint64
 	outs     map[string]int // by budget, a second ago: for a planted fault
 	powerOff map[string]int64
+	listed   *supervisor.List
+	listedAt int64
 	traffic  *traffic
 	night    *nightPlan
 	seed     uint64
@@ -170,13 +172,16 @@
 	w.timers = append(w.timers, timer{w.now + max(ms, 1), do})
 }
 
-// list is the platform's list; nil where it does not answer.
+// list is the platform's list, asked for once in a tick; nil where it does not answer.
 func (w *world) list() *supervisor.List {
-	l, err := w.platform.List(context.Background())
-	if err != nil {
-		return nil
+	if w.listedAt != w.now {
+		l, err := w.platform.List(context.Background())
+		if err != nil {
+			l = nil
+		}
+		w.listed, w.listedAt = l, w.now
 	}
-	return l
+	return w.listed
 }
 
 // behave is told of each launch by the platform.
@@ -243,6 +248,7 @@
 			w.judge.see(u)
 		}
 	}
+	w.plane.leases()
 	for i := range w.procs {
 		w.procs[i].step()
 	}
