Release: a drained server that the platform starts again by itself is stopped again

Cause: a server that ends by itself while it drains is listed as exited for a moment, which the drain took for its end; the platform then started it again as its version says, and the drain waited for good for it to leave the list.

A drain that waits for a server to leave goes back to stopping it where the platform lists it as running. Its test failed at the ticks between the proof of emptiness and the stop.

--- a/internal/release/cases_test.go
+++ b/internal/release/cases_test.go
@@ -364,3 +364,26 @@
 		}
 	}
 }
+
+// A server that is drained ends by itself at any moment, and the platform starts it again as its version says: it is
+// stopped all the same.
+func TestADrainedServerThatThePlatformStartsAgainIsStopped(t *testing.T) {
+	for at := range 16 {
+		w := newWorld(t, disruption.Server, 2, 3, 2)
+		s, err := NewDrain(DrainPlan("r", disruption.Selector{IDs: []string{"server/a0"}}, 3600), w.now, w.ledger.Units(), w.list())
+		if err == nil {
+			err = w.apply(&Op{Start: s})
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, _ = w.run("r", &kill{at: -1}, 400, func(i int, _ *State) {
+			if i == at {
+				w.platform.Crash("a0", "signal: killed")
+			}
+		})
+		if s.Head.Phase != Done || w.platform.Alive("a0") != 0 {
+			t.Errorf("ended by itself at tick %d: %s, %d processes, %+v", at, s.Head.Phase, w.platform.Alive("a0"), s.Units[0])
+		}
+	}
+}
--- a/internal/release/unit.go
+++ b/internal/release/unit.go
@@ -289,6 +289,9 @@
 		u.Fails, u.Why = 0, ""
 		c.to(u, Rest)
 		return
+	case c.s.Drain && !u.Back && c.runs(u):
+		c.to(u, Stop) // it had ended by itself, and the platform has started it again
+		return
 	case p.Stage == disruption.Out && !(c.s.Drain && !u.Back):
 		c.ledger(disruption.OpReturn, u)
 	}
@@ -329,6 +332,16 @@
 	}
 }
 
+// runs tells whether the platform lists a unit as one that is not over.
+func (c *stepper) runs(u *Unit) bool {
+	l := c.v.Platform
+	if l == nil {
+		return false
+	}
+	at := l.Find(u.Name)
+	return at != nil && at.State != supervisor.Exited
+}
+
 // cancel gives a permit back before anything was stopped under it, and puts a server that drains into the list again.
 func (c *stepper) cancel(u *Unit, p disruption.Permit, known bool) {
 	d, seen := c.v.Unit(u.ID)
