--- a/cmd/milldeck/lab.go
+++ b/cmd/milldeck/lab.go
@@ -137,11 +137,13 @@
 	var d draws
 	var policy string
 	var workers int
+	var nights nightFlags
 	c := &cobra.Command{
 		Use:   "sim FILE",
 		Short: "Plays an experiment on a virtual clock, without sockets",
 		Long: "sim plays an experiment on a virtual clock: the decision module itself, a model of the servers and clients, and\n" +
-			"no sockets. The same file and seed give the same bytes, whatever the number of workers.\n\n" + exitHelp,
+			"no sockets. The same file and seed give the same bytes, whatever the number of workers. An experiment with a\n" +
+			"control plane is a night of that, without requests, unless --policy is given; docs/night.md has more.\n\n" + exitHelp,
 		Example: "  milldeck lab sim experiments/fleet.toml --seed 3 --json out.json\n  milldeck lab sim experiments/fleet.toml --policy all",
 		Args:    exactly(1),
 		RunE: func(c *cobra.Command, args []string) error {
@@ -149,6 +151,9 @@
 			if err != nil {
 				return err
 			}
+			if p.File.Controlled() && !c.Flags().Changed("policy") {
+				return nights.play(c, p, &out, workers)
+			}
 			names := []string{policy}
 			if policy == "all" {
 				names = sim.Policies()
@@ -193,6 +198,7 @@
 	out.flags(c)
 	d.flags(c)
 	c.Flags().StringVar(&policy, "policy", sim.Module, "what decides: "+strings.Join(sim.Policies(), ", ")+", or all of them side by side")
+	nights.flags(c)
 	c.Flags().IntVar(&workers, "workers", 0, "sidecars that decide at a time (default: one for each core); the result is the same")
 	return c
 }
--- /dev/null
+++ b/internal/lab/night/batch/batch_test.go
@@ -0,0 +1,24 @@
+package batch
+
+import (
+	"context"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"milldeck/internal/lab/night"
+)
+
+// The same seeds give the same result, whatever the number of workers.
+func TestSameWithAnyNumberOfWorkers(t *testing.T) {
+	play := func(workers int) *Result {
+		r, err := Run(context.Background(), "night", 3, 8, 2, night.Options{Sidecars: 40, Servers: 160}, workers)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	if diff := cmp.Diff(play(1), play(6)); diff != "" {
+		t.Error(diff)
+	}
+}
