--- a/internal/lab/night/figures.go
+++ b/internal/lab/night/figures.go
@@ -45,7 +45,7 @@
 // end by themselves, a zone that is cut off for a while, its controller killed; beside what all servers feel.
 func Release(seed uint64, harm *Harm) Rollout {
 	w := newWorld(seed, Options{Sidecars: 16, Servers: 200, Start: 1_780_000_000_000, Calm: true})
-	w.night = &nightPlan{}
+	w.night, w.stepMS = &nightPlan{}, tickMS
 	w.traffic = &traffic{w: w, rng: rand.New(rand.NewPCG(seed, 9))}
 	out := Rollout{Seed: seed}
 	if harm != nil {
--- a/internal/lab/night/night.go
+++ b/internal/lab/night/night.go
@@ -28,7 +28,7 @@
 	// Of single tests; a night draws what is zero.
 	Start       int64   // Unix ms
 	LoseReports float64 // part of the sidecars' reports that the spreader does not get
-	SlowReturn  bool    // a window's servers come back hours late
+	SlowReturn  bool    // a window's servers come back half an hour late
 	Calm        bool    // no faults are drawn
 	ClockOff    int64   // ms that the first window controller's clock is off
 	OpenIn      time.Duration
@@ -87,7 +87,7 @@
 	releaseC = "sidecars"
 	drainD   = "drain"
 	windowW  = "w"
-	mostMS   = 3 * 3600_000 // of a night
+	mostMS   = 5400_000 // of a night: far more than any takes that comes to rest
 )
 
 const serverPlan = `name = "servers"
