--- a/internal/lab/control.go
+++ b/internal/lab/control.go
@@ -14,7 +14,6 @@
 	ServerVersion  string           `toml:"server_version"`  // on which servers start
 	SidecarVersion string           `toml:"sidecar_version"` // on which sidecars start
 	SightMS        float64          `toml:"sight_ms"`        // how long what fails by itself may be unknown to controllers
-	ColdOut        bool             `toml:"cold_out"`        // a server counts as out until it is warm
 	Mixed          bool             `toml:"mixed"`           // units of one kind may end on several versions
 	Versions       []VersionFile    `toml:"version"`
 	Controllers    []ControllerFile `toml:"controller"`
@@ -55,7 +54,7 @@
 	Args   []string `toml:"args"`
 	File   string   `toml:"file"`
 	Status int      `toml:"status"` // that the command has to end with
-	Do     string   `toml:"do"`     // "stop", "start" or "restart", of Target, at the platform; "drain": in the list
+	Do     string   `toml:"do"`     // "stop", "start" or "restart", of Target, at the platform; "drain": in the list; "copies": places copies of all keys there
 	Target string   `toml:"target"`
 }
 
@@ -90,8 +89,8 @@
 	Target string `toml:"target"`
 }
 
-// SpreadFile bounds cold work, for the rule "spread": within any window, at most a part of all work may be for keys that
-// were not warm where it was done.
+// SpreadFile bounds cold work, for the rule "spread": within any window, copies of keys may do cold at most a part of what
+// all servers can do.
 type SpreadFile struct {
 	WindowS float64 `toml:"window_s"` // 0: no bound
 	Most    float64 `toml:"most"`
@@ -206,8 +205,8 @@
 		if s.Do == "" {
 			continue
 		}
-		if !slices.Contains([]string{"stop", "start", "restart", "drain"}, s.Do) {
-			bad(at+"do", "%q is not stop, start, restart or drain", s.Do)
+		if !slices.Contains([]string{"stop", "start", "restart", "drain", "copies"}, s.Do) {
+			bad(at+"do", "%q is not stop, start, restart, drain or copies", s.Do)
 		}
 		f.checkUnits(at+"target", s.Target, bad)
 	}
--- a/internal/lab/live/control.go
+++ b/internal/lab/live/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"os"
 	"path/filepath"
@@ -131,6 +132,7 @@
 	if err := c.budgets(ready); err != nil {
 		return err
 	}
+	c.around.Go(c.findWarm)
 	for _, k := range c.controllers {
 		if k.file.AtS > 0 {
 			continue
@@ -207,6 +209,7 @@
 func (c *control) finish() {
 	c.judge.Finish(c.now())
 	c.over.Store(true)
+	slog.Info("sidecars were told", "to_keep_off", c.judge.Keepings(), "cold_work_of_budget", c.judge.Coldest())
 }
 
 // stop ends controllers, and then all that the platform has started.
--- a/internal/lab/night/windows.go
+++ b/internal/lab/night/windows.go
@@ -19,10 +19,8 @@
 	token uint64
 }
 
-const windowDuty = "window"
-
 func (w *world) windower(k int, c clock) *process {
-	return w.process(fmt.Sprintf("window-%d", k), windowDuty, func(p *process) controller { return &windower{p: p, clock: c} })
+	return w.process(fmt.Sprintf("window-%d", k), window.Duty, func(p *process) controller { return &windower{p: p, clock: c} })
 }
 
 func (c *windower) take(token uint64) { c.core, c.token = window.NewCore(token), token }
@@ -37,28 +35,17 @@
 		return
 	}
 	now := c.now()
-	v := &window.View{Rev: s.rev, Table: s.windows, Permits: map[string]disruption.Stage{}, Up: map[string]bool{}, Fleet: w.fleet}
-	draining := false
+	v := window.Look(s.rev, s.windows, s.ledger)
 	for _, win := range s.windows.Windows() {
-		draining = draining || win.Stage == window.Draining
-		m, is := s.ledger.Permit(win.PermitID())
-		if is && win.Attempt > 0 {
-			v.Permits[m.ID] = m.Stage
-		}
-		for _, uid := range win.Servers { // what was seen before they were to come back says nothing
-			u, _ := s.ledger.Unit(disruption.UnitID(disruption.Server, uid))
-			v.Up[uid] = u.Condition == disruption.Up && (!is || over(m.Stage) || u.Rev > m.OutAt || m.Stage == disruption.Returning && u.Seen > m.BackAt)
-		}
-	}
-	for _, u := range w.sidecars {
-		k, is := s.ledger.Unit(u.ID)
-		if !is || k.Condition == disruption.Lost {
+		if win.Stage != window.Draining {
 			continue
 		}
-		v.Sidecars = append(v.Sidecars, u.name)
-		if draining && u.alive && u.ready <= w.now && u.car.mute <= w.now {
-			c.core.Heard(now, w.report(u))
+		for _, name := range v.Sidecars {
+			if u := w.names[name]; u.alive && u.ready <= w.now && u.car.mute <= w.now {
+				c.core.Heard(now, w.report(u))
+			}
 		}
+		break
 	}
 	effects, _ := c.core.Step(now, v)
 	for _, e := range effects {
@@ -99,19 +86,12 @@
 
 // windowAct is an act on the ledger; its outcome is told in the words of windows.
 func (w *world) windowAct(a *window.Act) (string, string) {
-	var units []string
-	for _, uid := range a.Servers {
-		units = append(units, disruption.UnitID(disruption.Server, uid))
-	}
-	op := &disruption.Op{Kind: a.Kind, Owner: windowDuty, Permit: &disruption.Permit{ID: a.ID}}
-	switch a.Kind {
-	case disruption.OpAsk:
-		op.Permit = &disruption.Permit{ID: a.ID, Owner: windowDuty, Purpose: a.Purpose, Units: units, Rank: a.Rank, End: disruption.ComesBack}
-	case disruption.OpSee:
+	op := a.Op()
+	if a.Kind == disruption.OpSee {
 		op.Permit = nil
-		for _, id := range units {
-			if u := w.by[id]; w.serves(u) {
-				op.Seen = append(op.Seen, disruption.Unit{ID: id, Condition: disruption.Up})
+		for _, uid := range a.Servers {
+			if u := w.names[uid]; w.serves(u) {
+				op.Seen = append(op.Seen, disruption.Unit{ID: u.ID, Condition: disruption.Up})
 			}
 		}
 		if len(op.Seen) == 0 {
--- a/internal/release/unit.go
+++ b/internal/release/unit.go
@@ -292,12 +292,12 @@
 	case c.s.Drain && !u.Back && c.runs(u):
 		c.to(u, Stop) // it had ended by itself, and the platform has started it again
 		return
-	case p.Stage == disruption.Out && !(c.s.Drain && !u.Back):
+	case known && p.Stage == disruption.Out && !(c.s.Drain && !u.Back):
 		c.ledger(disruption.OpReturn, u)
 	}
 	d, seen := c.v.Unit(u.ID)
 	switch {
-	case !seen && !known && c.s.Drain && !u.Back: // it left, and its permit ended, while nobody looked
+	case !seen && !known && c.s.Drain && !u.Back: // its permit is settled, and it is out of the list for good
 		c.to(u, Rest)
 		return
 	case !seen || d.Condition != disruption.Up && !(c.s.Drain && d.Condition == disruption.Lost):
