--- a/internal/lab/night/release.go
+++ b/internal/lab/night/release.go
@@ -51,14 +51,30 @@
 	return true
 }
 
+// stepsAtOnce is how many steps a controller takes in a tick while each writes something: it goes on 50 ms after a write,
+// and a write takes about as long.
+const stepsAtOnce = 4
+
 func (c *releaser) step() {
-	w, s := c.p.w, c.p.reads()
-	if w.now%w.stepMS != 0 || !c.load(s) {
+	if c.p.w.now%c.p.w.stepMS != 0 {
 		return
 	}
+	for range stepsAtOnce {
+		if c.p.dead || c.p.frozen > c.p.w.now || !c.once() {
+			return
+		}
+	}
+}
+
+// once takes one step, and tells whether it was written.
+func (c *releaser) once() bool {
+	w, s := c.p.w, c.p.reads()
+	if s == nil || !c.load(s) {
+		return false
+	}
 	_, told := s.releases.Get(c.name)
 	if c.state.Head.Phase.Over() && c.state.Head.Commands == len(told) {
-		return
+		return false
 	}
 	l := w.list()
 	c.look(s, l)
@@ -75,19 +91,22 @@
 	}
 	effects := c.state.Step(v)
 	if !c.call(effects) {
-		return
+		return false
 	}
+	wrote := false
 	for _, e := range effects {
 		if _, is := e.(release.Do); is {
 			continue
 		}
 		if !c.p.act(func() { c.carry(e) }) || c.state == nil {
-			return
+			return false
 		}
+		_, wrote = e.(release.Write)
 	}
 	if w.now%3000 == 0 {
 		c.flush()
 	}
+	return wrote
 }
 
 func (c *releaser) permit(s *state, id string) (disruption.Permit, bool) {
--- a/internal/lab/night/windows.go
+++ b/internal/lab/night/windows.go
@@ -161,6 +161,8 @@
 	grant := window.NewPlanner().Grant(&window.Kept{Contract: c}, w.now, 0)
 	w.judge.agree(tenant, opens, length)
 	if out := w.operate(&window.Op{Kind: window.OpContract, Contract: &c, Grant: grant}); out != string(window.Applied) {
-		w.judge.breaks("hours", fmt.Sprintf("the contract of %s is %s", tenant, out))
+		w.judge.breaks(ruleHours, fmt.Sprintf("the contract of %s is %s", tenant, out))
 	}
+	w.plane.rev++ // the command that sets a contract sets the budget that goes with it
+	w.plane.ledger.Apply(w.plane.rev, &disruption.Op{Kind: disruption.OpBudget, Owner: "operator/ops", Budget: window.BudgetOf(&c)})
 }
