--- a/cmd/milldeck/lab.go
+++ b/cmd/milldeck/lab.go
@@ -105,11 +105,13 @@
 type draws struct {
 	seed    uint64
 	without []string
+	spreadFlags
 }
 
 func (d *draws) flags(c *cobra.Command) {
 	c.Flags().Uint64Var(&d.seed, "seed", 0, "draw the experiment from this seed in place of the file's")
 	c.Flags().StringSliceVar(&d.without, "without", nil, "leave out faults of these kinds")
+	d.spreadFlags.flags(c)
 }
 
 // plan reads an experiment and draws its plan.
@@ -124,6 +126,9 @@
 		}
 		f.Faults = slices.DeleteFunc(f.Faults, func(ft lab.FaultFile) bool { return ft.Kind == kind })
 	}
+	if f, err = d.of(f); err != nil {
+		return nil, err
+	}
 	return f.Draw(d.seed), nil
 }
 
--- a/cmd/milldeck/labrun.go
+++ b/cmd/milldeck/labrun.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -29,6 +30,9 @@
 
 // play plays a plan with real processes.
 func (l *liveFlags) play(ctx context.Context, p *lab.Plan, progress func(live.Progress)) (*lab.Result, error) {
+	if p.File.Spread != nil {
+		return nil, usageError{errors.New("[spread] is played by lab sim alone")}
+	}
 	self, err := os.Executable()
 	if err != nil {
 		return nil, err
--- a/cmd/milldeck/windowtell.go
+++ b/cmd/milldeck/windowtell.go
@@ -1,16 +1,18 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"os/user"
+	"slices"
 	"text/tabwriter"
 	"time"
 
 	"github.com/spf13/cobra"
 
-	"milldeck/internal/disruption"
 	"milldeck/internal/registry"
 	"milldeck/internal/window"
 	"milldeck/internal/window/contract"
@@ -25,19 +27,22 @@
 }
 
 func newWindowPropose() *cobra.Command {
-	return asks("propose FILE", "Proposes a window; the controller plans it", 1,
+	c := asks("propose FILE", "Proposes a window; the controller plans it", 1,
 		func(ctx context.Context, c *cobra.Command, a *asking, client *registry.Client, args []string) error {
 			w, after, work, err := loadWish(args[0], false)
 			if err != nil {
 				return err
 			}
-			return tell(ctx, c, client, window.Op{Kind: window.OpPropose, Name: w.Name, By: person(), Servers: w.Servers,
+			return tell(ctx, c, a, client, window.Op{Kind: window.OpPropose, Name: w.Name, By: person(), Servers: w.Servers,
 				WorkMS: work.Milliseconds(), AfterMS: after})
 		})
+	c.Example = "  milldeck window propose window.toml --replicas 127.0.0.1:8500\n\n  # window.toml\n  name = \"disks-3\"\n  servers = [\"s17\", \"s18\"]\n" +
+		"  work = \"30m\"\n  after = \"2026-06-10T12:00:00Z\""
+	return c
 }
 
 // tell writes a person's operation.
-func tell(ctx context.Context, c *cobra.Command, client *registry.Client, op window.Op) error {
+func tell(ctx context.Context, c *cobra.Command, a *asking, client *registry.Client, op window.Op) error {
 	if err := op.Check(); err != nil {
 		return usageError{err}
 	}
@@ -45,22 +50,55 @@
 	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprintf(c.OutOrStdout(), "done, revision %d\n", res.Rev)
-	return err
+	return a.show(c.OutOrStdout(), res, func(out io.Writer) error {
+		line := fmt.Sprintf("done, revision %d", res.Rev)
+		if res.Why != "" {
+			line += ": " + res.Why
+		}
+		_, err := fmt.Fprintln(out, line)
+		return err
+	})
+}
+
+// newWindowHold makes halt or resume: of a window, of a tenant's windows, or of all.
+func newWindowHold(kind window.OpKind, short string) *cobra.Command {
+	var tenant, why string
+	c := asks(string(kind)+" [NAME]", short, 0,
+		func(ctx context.Context, c *cobra.Command, a *asking, client *registry.Client, args []string) error {
+			op := window.Op{Kind: kind, By: person(), Why: why}
+			switch {
+			case len(args) == 1:
+				op.Scope = "window/" + args[0]
+			case tenant != "":
+				op.Scope = "tenant/" + tenant
+			}
+			return tell(ctx, c, a, client, op)
+		})
+	c.Args = func(c *cobra.Command, args []string) error {
+		if len(args) > 1 || len(args) == 1 && tenant != "" {
+			return usageError{fmt.Errorf("%s takes one name at most, or --tenant", c.CommandPath())}
+		}
+		return nil
+	}
+	c.Example = fmt.Sprintf("  milldeck window %[1]s disks-3\n  milldeck window %[1]s --tenant member-portal --why \"rates announced\"\n  milldeck window %[1]s", kind)
+	c.Flags().StringVar(&tenant, "tenant", "", "the windows of this tenant alone")
+	c.Flags().StringVar(&why, "why", "", "a reason, for those who look it up")
+	return c
 }
 
 // newWindowTell makes a command of one operation about one window.
 func newWindowTell(use, short string, op func(name, why string) window.Op) *cobra.Command {
 	var why string
 	c := asks(use+" NAME", short, 1, func(ctx context.Context, c *cobra.Command, a *asking, client *registry.Client, args []string) error {
-		return tell(ctx, c, client, op(args[0], why))
+		return tell(ctx, c, a, client, op(args[0], why))
 	})
+	c.Example = "  milldeck window " + use + " disks-3"
 	c.Flags().StringVar(&why, "why", "", "a reason, for those who look it up")
 	return c
 }
 
 func newWindowList() *cobra.Command {
-	return asks("list", "Prints windows and halts", 0,
+	c := asks("list", "Prints windows and halts", 0,
 		func(ctx context.Context, c *cobra.Command, a *asking, client *registry.Client, _ []string) error {
 			v, err := client.Windows(ctx, true)
 			if err != nil {
@@ -71,8 +109,8 @@
 				for _, one := range v.Table.Windows {
 					fmt.Fprintf(w, "%s\t%s\t%d servers\t%s\t%s\n", one.Name, one.Stage, len(one.Servers), when(one.FromMS), one.Why)
 				}
-				for scope, why := range v.Table.Halts {
-					fmt.Fprintf(w, "halted: %q\t%s\n", scope, why)
+				for _, scope := range slices.Sorted(maps.Keys(v.Table.Halts)) {
+					fmt.Fprintf(w, "halted: %s\t%s\n", cmp.Or(scope, "all windows"), v.Table.Halts[scope])
 				}
 				if v.Table.Doubt != "" {
 					fmt.Fprintln(w, "in doubt:", v.Table.Doubt)
@@ -80,6 +118,8 @@
 				return w.Flush()
 			})
 		})
+	c.Example = "  milldeck window list\n  milldeck window list --json"
+	return c
 }
 
 func when(ms int64) string {
@@ -90,7 +130,7 @@
 }
 
 func newWindowShow() *cobra.Command {
-	return asks("show NAME", "Prints one window", 1,
+	c := asks("show NAME", "Prints one window", 1,
 		func(ctx context.Context, c *cobra.Command, a *asking, client *registry.Client, args []string) error {
 			v, err := client.Windows(ctx, true)
 			if err != nil {
@@ -115,34 +155,35 @@
 				return w.Flush()
 			})
 		})
+	c.Example = "  milldeck window show disks-3\n  milldeck window show disks-3 --json"
+	return c
 }
 
 func newContractSet() *cobra.Command {
-	return asks("set FILE", "Brings a contract into force, and the ledger's budget that goes with it", 1,
+	c := asks("set FILE", "Brings a contract into force, and the ledger's budget that goes with it", 1,
 		func(ctx context.Context, c *cobra.Command, a *asking, client *registry.Client, args []string) error {
 			one, err := contract.Load(args[0])
 			if err != nil {
 				return err
 			}
-			// The budget first: a contract that is not in force approves nothing.
-			if _, err := client.Ledger(ctx, registry.Write{}, disruption.Op{Kind: disruption.OpBudget, Owner: "operator/" + person(),
-				Budget: window.BudgetOf(one)}); err != nil {
-				return err
-			}
 			now := window.NewPlanner().Grant(&window.Kept{Contract: *one}, time.Now().UnixMilli(), 0)
-			return tell(ctx, c, client, window.Op{Kind: window.OpContract, Contract: one, Grant: now})
+			return tell(ctx, c, a, client, window.Op{Kind: window.OpContract, Contract: one, Grant: now})
 		})
+	c.Example = "  milldeck contract set portal.toml"
+	return c
 }
 
 func newContractWithdraw() *cobra.Command {
-	return asks("withdraw TENANT", "Ends a contract; windows under way come back", 1,
+	c := asks("withdraw TENANT", "Ends a contract; windows under way come back", 1,
 		func(ctx context.Context, c *cobra.Command, a *asking, client *registry.Client, args []string) error {
-			return tell(ctx, c, client, window.Op{Kind: window.OpWithdraw, Tenant: args[0]})
+			return tell(ctx, c, a, client, window.Op{Kind: window.OpWithdraw, Tenant: args[0]})
 		})
+	c.Example = "  milldeck contract withdraw member-portal"
+	return c
 }
 
 func newContractList() *cobra.Command {
-	return asks("list", "Prints the contracts in force, with the minutes used this month", 0,
+	c := asks("list", "Prints the contracts in force, with the minutes used this month", 0,
 		func(ctx context.Context, c *cobra.Command, a *asking, client *registry.Client, _ []string) error {
 			v, err := client.Windows(ctx, true)
 			if err != nil {
@@ -163,11 +204,15 @@
 				return w.Flush()
 			})
 		})
+	c.Example = "  milldeck contract list\n  milldeck contract list --json"
+	return c
 }
 
 func newContractResume() *cobra.Command {
-	return asks("resume TENANT", "Lets windows of a tenant go on that an overrun has halted", 1,
+	c := asks("resume TENANT", "Lets windows of a tenant go on that an overrun has halted", 1,
 		func(ctx context.Context, c *cobra.Command, a *asking, client *registry.Client, args []string) error {
-			return tell(ctx, c, client, window.Op{Kind: window.OpResume, Scope: "tenant/" + args[0]})
+			return tell(ctx, c, a, client, window.Op{Kind: window.OpResume, Scope: "tenant/" + args[0]})
 		})
+	c.Example = "  milldeck contract resume member-portal"
+	return c
 }
--- a/internal/lab/file.go
+++ b/internal/lab/file.go
@@ -61,6 +61,7 @@
 	Classes   []ClassFile   `toml:"class"`
 	Phases    []PhaseFile   `toml:"phase"`
 	Faults    []FaultFile   `toml:"fault"`
+	Spread    *SpreaderFile `toml:"spread"`  // nil: no figures of hot keys, and nobody spreads them in sim
 	Control   *ControlFile  `toml:"control"` // nil: there is no control plane
 }
 
@@ -315,6 +316,7 @@
 	f.checkServers(bad, inside, within)
 	f.checkClasses(bad, inside, within)
 	f.checkPhases(bad, inside)
+	f.checkSpread(bad, inside, within)
 	f.checkControl(bad, inside)
 	for i := range f.Faults {
 		f.Faults[i].check(f, fmt.Sprintf("fault[%d]", i), bad)
--- a/internal/lab/measure.go
+++ b/internal/lab/measure.go
@@ -213,7 +213,7 @@
 	Windows     []Window       `json:"windows"`
 	Faults      []FaultMark    `json:"faults"`
 
-	Figures map[string]float64 `json:"figures,omitempty"` // of the control plane, where it takes part
+	Figures map[string]float64 `json:"figures,omitempty"` // of a part of the program that the experiment is about
 }
 
 // ClassResult is a class's part.
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -79,6 +79,8 @@
 	// or noise; Silent has it take requests and say nothing. The last three are for whoever sends its answers.
 	Slow, Errors, Resets, Spoils float64
 	Silent                       bool
+
+	Knows map[uint64]bool // keys that are always warm here; nil: none
 }
 
 type ending struct {
@@ -255,6 +257,9 @@
 	for len(s.order) > 0 && (now > s.order[0].at+k.WarmMS || len(s.order) > 2*max(k.WarmKeys, 1)) {
 		s.drop()
 	}
+	if s.Knows[key] {
+		return true
+	}
 	at, known := s.warm[key]
 	s.warm[key] = now
 	s.order = append(s.order, warmKey{key, now})
