--- a/internal/lab/night/night.go
+++ b/internal/lab/night/night.go
@@ -29,6 +29,7 @@
 	Start      int64 // Unix ms
 	SlowReturn bool  // a window's servers come back half an hour late
 	Calm       bool  // no faults are drawn
+	First      bool  // it ends with the first rule that is broken
 	ClockOff   int64 // ms that the first window controller's clock is off
 	OpenIn     time.Duration
 	CloseIn    time.Duration // from the start to the close of all hours
