--- a/internal/release/cases_test.go
+++ b/internal/release/cases_test.go
@@ -343,3 +343,47 @@
 		t.Errorf("the window's permit is %s", p.Stage)
 	}
 }
+
+// A halt between a permit's begin and the first act: nothing was done to the sidecar, so nothing about it changes either.
+// Its permit is settled all the same.
+func TestAHaltBeforeTheFirstActSettles(t *testing.T) {
+	for at := range 12 {
+		w := newWorld(t, disruption.Sidecar, 2, 3, 2)
+		w.quiet = true
+		w.start(strings.Replace(strings.Replace(serverPlan, "server =", "sidecar =", 1), `"back"`, `"hold"`, 1))
+		s, _ := w.run("r", &kill{at: -1}, 400, func(i int, s *State) {
+			if i == at {
+				tell(t, w, CmdHalt)
+			}
+			if i == at+100 && s.Head.Phase == Held {
+				tell(t, w, CmdResume)
+			}
+		})
+		if s.Head.Phase != Done {
+			t.Errorf("halted at tick %d and resumed: %s, %+v", at, s.Head.Phase, s.Units[0])
+		}
+	}
+}
+
+// A server that is drained ends by itself at any moment, and the platform starts it again as its version says: it is
+// stopped all the same.
+func TestADrainedServerThatThePlatformStartsAgainIsStopped(t *testing.T) {
+	for at := range 16 {
+		w := newWorld(t, disruption.Server, 2, 3, 2)
+		s, err := NewDrain(DrainPlan("r", disruption.Selector{IDs: []string{"server/a0"}}, 3600), w.now, w.ledger.Units(), w.list())
+		if err == nil {
+			err = w.apply(&Op{Start: s})
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, _ = w.run("r", &kill{at: -1}, 400, func(i int, _ *State) {
+			if i == at {
+				w.platform.Crash("a0", "signal: killed")
+			}
+		})
+		if s.Head.Phase != Done || w.platform.Alive("a0") != 0 {
+			t.Errorf("ended by itself at tick %d: %s, %d processes, %+v", at, s.Head.Phase, w.platform.Alive("a0"), s.Units[0])
+		}
+	}
+}
--- a/internal/release/drive/drive.go
+++ b/internal/release/drive/drive.go
@@ -250,6 +250,7 @@
 	res, err := t.Store.Ledger(ctx, registry.Write{Guard: t.guard}, op)
 	var status *registry.StatusError
 	switch {
+	case op.Permit == nil: // what was seen; it is told again where it has not got there
 	case err == nil:
 		t.ledgerRev = max(t.ledgerRev, res.Rev)
 		delete(t.denied, op.Permit.ID)
--- a/internal/release/unit.go
+++ b/internal/release/unit.go
@@ -289,6 +289,9 @@
 		u.Fails, u.Why = 0, ""
 		c.to(u, Rest)
 		return
+	case c.s.Drain && !u.Back && c.runs(u):
+		c.to(u, Stop) // it had ended by itself, and the platform has started it again
+		return
 	case known && p.Stage == disruption.Out && !(c.s.Drain && !u.Back):
 		c.ledger(disruption.OpReturn, u)
 	}
@@ -329,6 +332,16 @@
 	}
 }
 
+// runs tells whether the platform lists a unit as one that is not over.
+func (c *stepper) runs(u *Unit) bool {
+	l := c.v.Platform
+	if l == nil {
+		return false
+	}
+	at := l.Find(u.Name)
+	return at != nil && at.State != supervisor.Exited
+}
+
 // cancel gives a permit back before anything was stopped under it, and puts a server that drains into the list again.
 func (c *stepper) cancel(u *Unit, p disruption.Permit, known bool) {
 	d, seen := c.v.Unit(u.ID)
@@ -345,10 +358,26 @@
 	case !p.Undone:
 		c.ledger(disruption.OpCancel, u)
 	case seen && d.Condition == disruption.Up:
+		if c.s.ledgerKind() == disruption.Sidecar {
+			c.see(u, d)
+		}
 		c.ledger(disruption.OpSettle, u)
 	}
 }
 
+// see tells the ledger that a sidecar under whose permit nothing was done runs on as before. The list tells of changes
+// alone, and here there was none, so that no other evidence would ever come.
+func (c *stepper) see(u *Unit, d disruption.Unit) {
+	l := c.v.Platform
+	if l == nil {
+		return
+	}
+	if at := l.Find(u.Name); at != nil && at.State == supervisor.Running {
+		c.do(Ledger{disruption.Op{Kind: disruption.OpSee, Owner: Owner(c.s.Name),
+			Seen: []disruption.Unit{{ID: u.ID, Condition: disruption.Up, Rev: d.Rev}}}})
+	}
+}
+
 // fails notes a start that came to nothing. It is tried again; then the unit has failed.
 func (c *stepper) fails(u *Unit, why string) {
 	u.Fails++
