Registry: the leader finds servers warm that have been up for a minute

Where a budget is set a server that starts is cold until somebody has found it up. Releases do that for their own units; one that failed alone and came back stayed cold, counted as out, and held every later grant back. The leader now writes it once it has seen the server cold for warm_after_s (60) in one life of it; a new leader begins anew.

go test -race -count=20 ./internal/registry -run WarmthByTime: green.

--- a/cmd/milldeck/registry.go
+++ b/cmd/milldeck/registry.go
@@ -52,6 +52,7 @@
 	Advertise string       `toml:"advertise"` // the raft address that others are told, where it differs
 	Dir       string       `toml:"dir"`
 	Snapshot  uint64       `toml:"snapshot_every"` // log entries
+	WarmAfter *float64     `toml:"warm_after_s"`   // absent: a minute; 0: somebody else finds servers warm
 	Members   []memberFile `toml:"member"`
 	Expiry    struct {
 		Share   float64 `toml:"share"`
@@ -64,6 +65,14 @@
 	} `toml:"backup"`
 }
 
+// warmAfter is how long after it is ready a server counts as warm.
+func (f *serveFile) warmAfter() time.Duration {
+	if f.WarmAfter == nil {
+		return time.Minute
+	}
+	return time.Duration(*f.WarmAfter * float64(time.Second))
+}
+
 // backups are what the configuration says of them, with the defaults: hourly, a day's worth.
 func (f *serveFile) backups() duty.BackupOptions {
 	every := time.Duration(f.Backup.EveryS * float64(time.Second))
@@ -84,7 +93,8 @@
 		return registry.Options{}, err
 	}
 	o := registry.Options{HTTP: f.HTTP, Raft: f.Raft, Advertise: f.Advertise, Dir: f.Dir, SnapshotEvery: f.Snapshot,
-		Expiry: registry.Expiry{Share: f.Expiry.Share, Within: time.Duration(f.Expiry.WithinS * float64(time.Second))}}
+		Expiry:    registry.Expiry{Share: f.Expiry.Share, Within: time.Duration(f.Expiry.WithinS * float64(time.Second))},
+		WarmAfter: f.warmAfter()}
 	for key, addr := range map[string]string{"http": f.HTTP, "raft": f.Raft} {
 		if err := registry.Loopback(key, addr); err != nil {
 			return o, at.Errorf(key, "%v", err)
@@ -99,6 +109,8 @@
 		return o, at.Errorf("backup.every_s", "%v is negative", f.Backup.EveryS)
 	case f.Backup.Keep < 0:
 		return o, at.Errorf("backup.keep", "%d is negative", f.Backup.Keep)
+	case f.WarmAfter != nil && *f.WarmAfter < 0:
+		return o, at.Errorf("warm_after_s", "%v is negative", *f.WarmAfter)
 	case f.Expiry.WithinS < 0:
 		return o, at.Errorf("expiry.within_s", "%v is negative", f.Expiry.WithinS)
 	case len(f.Members) > 0 && !slices.Contains([]int{1, 3, 5}, len(f.Members)):
--- a/internal/disruption/read.go
+++ b/internal/disruption/read.go
@@ -46,6 +46,18 @@
 	return out
 }
 
+// In are the units of a condition, by id.
+func (t *Table) In(c Condition) []Unit {
+	var out []Unit
+	for _, u := range t.units {
+		if u.Condition == c {
+			out = append(out, u.Unit)
+		}
+	}
+	slices.SortFunc(out, func(a, b Unit) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
 // Budgets are those that were set, by name.
 func (t *Table) Budgets() []Budget {
 	out := make([]Budget, 0, len(t.budgets))
--- a/internal/registry/lead.go
+++ b/internal/registry/lead.go
@@ -40,6 +40,7 @@
 		r.duties.reset(time.Now(), s)
 		r.sidecars.reset(time.Now(), s)
 	})
+	r.warmth = newWarmth(r.opts.WarmAfter)
 	r.leading.Store(true)
 	r.metrics.changes.Inc()
 	slog.Info("leads", "http", r.opts.HTTP)
@@ -83,6 +84,7 @@
 			r.lapse()
 			r.endPlacement()
 			r.expireSidecars()
+			r.warm()
 		}
 	}
 }
--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -50,6 +50,8 @@
 	Expiry    Expiry
 	// SnapshotEvery is how many log entries make a snapshot due.
 	SnapshotEvery uint64
+	// WarmAfter is how long after it is ready a server counts as warm in the ledger; 0: somebody else finds that.
+	WarmAfter time.Duration
 }
 
 // Member is one replica of the cluster.
@@ -71,6 +73,7 @@
 	hub     *Hub
 	leases  *leases
 	duties  *dutyLeases
+	warmth  *warmth // of the loop of the leader alone
 	raft    *raft.Raft
 	store   io.Closer
 	trans   *raft.NetworkTransport
--- /dev/null
+++ b/internal/registry/warm_test.go
@@ -0,0 +1,42 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	"milldeck/internal/disruption"
+)
+
+// A server counts as warm once the leader has seen it cold for the time, in one life of it; one that starts again, or
+// was away, waits anew.
+func TestWarmthByTime(t *testing.T) {
+	w := newWarmth(60 * time.Second)
+	start := time.Unix(1000, 0)
+	cold := func(id string, rev uint64) disruption.Unit {
+		return disruption.Unit{ID: id, Rev: rev, Condition: disruption.Cold}
+	}
+	for _, step := range []struct {
+		at   time.Duration
+		cold []disruption.Unit
+		want string
+	}{
+		{0, []disruption.Unit{cold("server/a", 1), cold("server/b", 2)}, ""},
+		{59 * time.Second, []disruption.Unit{cold("server/a", 1), cold("server/b", 7)}, ""}, // b has started again
+		{60 * time.Second, []disruption.Unit{cold("server/a", 1), cold("server/b", 7)}, "server/a"},
+		{61 * time.Second, []disruption.Unit{cold("server/a", 1), cold("server/b", 7)}, "server/a"}, // not taken: again
+		{70 * time.Second, nil, ""}, // both are away
+		{119 * time.Second, []disruption.Unit{cold("server/b", 7)}, ""},
+		{179 * time.Second, []disruption.Unit{cold("server/b", 7)}, "server/b"},
+	} {
+		got := ""
+		for _, u := range w.found(start.Add(step.at), step.cold) {
+			if u.Condition != disruption.Up || u.Rev == 0 {
+				t.Errorf("%v: %+v", step.at, u)
+			}
+			got += u.ID
+		}
+		if got != step.want {
+			t.Errorf("%v: found %q, want %q", step.at, got, step.want)
+		}
+	}
+}
