Frontend: a client that has gone gets an end, not an empty 200

Cause: serve returned without an answer when a client hung up, and net/http then wrote an implicit 200 with an empty body. A client that only ended its sending got an answer that no server made.

Change: the handler aborts, and the connection ends.

--- a/internal/sidecar/frontend.go
+++ b/internal/sidecar/frontend.go
@@ -155,7 +155,7 @@
 	case <-r.Context().Done():
 		if c.finish() {
 			f.post(hangUp{c})
-			return
+			panic(http.ErrAbortHandler) // a return would write an empty 200, which no server made
 		}
 		a = <-c.answers
 	case <-f.ending: // the request came before SIGTERM and has more time left than the process
