Client connections: reading and closing exclude each other

Cause: makeRoom, trim and dropSilent closed a connection that had nothing in its socket. net/http may have read a whole request from it a moment before, with its handler not entered yet: it was closed without an answer, so the request was lost. Lines: makeRoom, trim, dropSilent in conns.go, each with quiet(c.Conn) as the only question.

Change: the accepted connection is the table's own (client_conn.go). Its read is one look at the socket under the table's lock, which marks what it found: a connection is closed only while its reader waits, has nothing of a request or half of one that has rested, and the socket is empty; of one that is closed nothing is read. StateActive marks an open request before the handler. A deadline that passes while bytes come gets a last look. Closing happens outside the lock, as it waits for the reader.

TestRequestReadAtTheCloseIsAnswered fails on the code before (no answer). TestReadingAndClosingExcludeEachOther and TestRequestAtTheEndOfARest play the seam; planted: waits() without parked closes what is read, 3 cases fail. go test ./internal/sidecar: ok. The five runs with -race of these tests: ok.

--- a/internal/sidecar/conns.go
+++ b/internal/sidecar/conns.go
@@ -5,34 +5,9 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 )
 
-// phase is what a client's connection is doing.
-type phase uint8
-
-// In the order in which connections make room for others: the first on which nothing more is owed.
-const (
-	over    phase = iota // its last answer is written, and it closes
-	silent               // has asked for nothing yet
-	idle                 // between requests
-	serving              // never closed to make room
-)
-
-// clientConn is a connection of the application, or of who else comes.
-type clientConn struct {
-	net.Conn
-	phase phase
-	since time.Time // in this phase
-	// unread is when a silent connection was last found with something to read; zero: it was not.
-	unread time.Time
-}
-
-// readSoon is how long what a connection has sent may wait to be read, on a machine that is busy. Meanwhile it may be
-// a request, and connections that the application uses make no room for it.
-const readSoon = 50 * time.Millisecond
-
 // lookAgain is how soon room is sought again where something was about to be read.
 const lookAgain = 5 * time.Millisecond
 
@@ -40,36 +15,42 @@
 // stops accepting, so that those who connect and say nothing shut all others out, this one closes the
 // connection on which nothing has happened for longest.
 type clientConns struct {
-	net.Listener
+	*net.TCPListener
 	most   int
 	keep   int           // of those on which requests came; beyond it the longest idle end
 	freed  chan struct{} // a connection ended, or may now make room
 	closed chan struct{}
 	close  sync.Once
 
-	mu    sync.Mutex
-	conns map[net.Conn]*clientConn
+	mu      sync.Mutex
+	conns   map[*clientConn]struct{}
+	scratch [4 << 10]byte // for one read
 }
 
 func newClientConns(listener net.Listener, most, keep int) *clientConns {
 	return &clientConns{
-		Listener: listener, most: most, keep: keep, freed: make(chan struct{}, 1), closed: make(chan struct{}),
-		conns: map[net.Conn]*clientConn{},
+		TCPListener: listener.(*net.TCPListener), most: most, keep: keep,
+		freed: make(chan struct{}, 1), closed: make(chan struct{}), conns: map[*clientConn]struct{}{},
 	}
 }
 
 // Accept takes the next connection and makes room for it.
 func (t *clientConns) Accept() (net.Conn, error) {
-	c, err := t.Listener.Accept()
+	tcp, err := t.AcceptTCP()
 	if err != nil {
 		return nil, err
 	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	c := &clientConn{TCPConn: tcp, raw: raw, table: t, phase: silent}
 	for !t.add(c) {
 		select {
 		case <-t.freed:
 		case <-time.After(lookAgain):
 		case <-t.closed:
-			c.Close()
+			tcp.Close()
 			return nil, net.ErrClosed
 		}
 	}
@@ -81,92 +62,107 @@
 	var err error
 	t.close.Do(func() {
 		close(t.closed)
-		err = t.Listener.Close()
+		err = t.TCPListener.Close()
 	})
 	return err
 }
 
-func (t *clientConns) add(c net.Conn) bool {
+func (t *clientConns) add(c *clientConn) bool {
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	if len(t.conns) >= t.most && !t.makeRoom() {
-		return false
+	var last *clientConn
+	room := len(t.conns) < t.most
+	if !room {
+		last = t.makeRoom()
+		room = last != nil
+	}
+	if room {
+		c.since = time.Now()
+		t.conns[c] = struct{}{}
+	}
+	t.mu.Unlock()
+	if last != nil {
+		last.TCPConn.Close()
 	}
-	t.conns[c] = &clientConn{Conn: c, phase: silent, since: time.Now()}
-	return true
+	return room
 }
 
-// makeRoom closes one connection, if there is any on which no request waits; the caller holds the lock.
-func (t *clientConns) makeRoom() bool {
+// makeRoom takes out one connection, if there is any on which no request waits. The caller holds the lock, and
+// closes it without: that waits for a reader, which may wait for the lock.
+func (t *clientConns) makeRoom() *clientConn {
 	now := time.Now()
 	for {
 		var last *clientConn
 		pending := false
-		for _, c := range t.conns {
-			if c.phase == silent && !c.unread.IsZero() && now.Sub(c.unread) < readSoon {
-				pending = true
+		for c := range t.conns {
+			if c.phase != over && !c.waits(now) {
+				pending = pending || c.phase == silent // its first request may have come, or a part of it
 				continue
 			}
-			if c.phase != serving && (last == nil ||
-				c.phase < last.phase || c.phase == last.phase && c.since.Before(last.since)) {
+			if last == nil || c.phase < last.phase || c.phase == last.phase && c.since.Before(last.since) {
 				last = c
 			}
 		}
 		if last == nil || pending && last.phase == idle {
-			return false
+			return nil
 		}
-		if last.phase == over || quiet(last.Conn) {
+		if last.phase == over || quiet(last.TCPConn) {
 			t.drop(last)
-			return true
-		}
-		if last.phase == silent { // its first request may have come, or a part of it: it is looked at again later
-			last.unread = now
-		} else {
-			last.phase, last.since = serving, now // its next request has come and is about to be read
+			return last
 		}
+		last.parked = false // what has come is about to be read
 	}
 }
 
-// trim ends the longest idle connections beyond those to keep; the caller holds the lock. The application may
-// hold no more than a third of the descriptors for its requests. Filled with connections that were used once
-// and kept, none is left for the next request, long before this end has too many.
-func (t *clientConns) trim() {
+// trim takes out the longest idle connection beyond those to keep; the caller holds the lock, and closes it
+// without. The application may hold no more than a third of the descriptors for its requests. Filled with
+// connections that were used once and kept, none is left for the next request, long before this end has too many.
+func (t *clientConns) trim() *clientConn {
 	used := 0
 	var last *clientConn
-	for _, c := range t.conns {
+	now := time.Now()
+	for c := range t.conns {
 		if c.phase >= idle {
 			used++
 		}
-		if c.phase == idle && (last == nil || c.since.Before(last.since)) {
+		if c.phase == idle && c.waits(now) && (last == nil || c.since.Before(last.since)) {
 			last = c
 		}
 	}
-	if used > t.keep && last != nil && quiet(last.Conn) {
-		t.drop(last)
+	if used <= t.keep || last == nil || !quiet(last.TCPConn) {
+		return nil
 	}
+	t.drop(last)
+	return last
 }
 
+// drop takes a connection out, of which nothing is read any more; the caller holds the lock.
 func (t *clientConns) drop(c *clientConn) {
-	delete(t.conns, c.Conn)
-	c.Close()
+	delete(t.conns, c)
+	c.shut = true
 }
 
 // dropSilent closes all connections that wait for nothing, at a drain.
 func (t *clientConns) dropSilent() {
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, c := range t.conns {
-		if c.phase != serving && quiet(c.Conn) {
+	now := time.Now()
+	var rest []*clientConn
+	for c := range t.conns {
+		if c.waits(now) && quiet(c.TCPConn) {
 			t.drop(c)
+			rest = append(rest, c)
 		}
 	}
+	t.mu.Unlock()
+	for _, c := range rest {
+		c.TCPConn.Close()
+	}
 }
 
 // inUse tells whether there is a connection on which requests came and more may come.
 func (t *clientConns) inUse() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, c := range t.conns {
+	for c := range t.conns {
 		if c.phase >= idle {
 			return true
 		}
@@ -174,21 +170,19 @@
 	return false
 }
 
-// enter marks the phase of a connection; false: it was closed to make room, and what it carries is not to be
-// sent on. Its client sends it again on another.
-func (t *clientConns) enter(c net.Conn, p phase) bool {
+// enter marks the phase of a connection.
+func (t *clientConns) enter(c *clientConn, p phase) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	conn := t.conns[c]
-	if conn == nil {
-		return false
-	}
-	conn.phase, conn.since = p, time.Now()
+	c.phase, c.since = p, time.Now()
+	c.parked, c.begun = false, len(c.ahead) > 0
 	if p != serving {
 		t.signal()
 	}
-	t.trim()
-	return true
+	last := t.trim()
+	t.mu.Unlock()
+	if last != nil {
+		last.TCPConn.Close()
+	}
 }
 
 func (t *clientConns) signal() {
@@ -198,14 +192,17 @@
 	}
 }
 
-// state follows what the HTTP server tells of a connection; the handler tells when it is serving.
+// state follows what the HTTP server tells of a connection. It is active from before its handler is called.
 func (t *clientConns) state(c net.Conn, state http.ConnState) {
+	conn := c.(*clientConn)
 	switch state {
+	case http.StateActive:
+		t.enter(conn, serving)
 	case http.StateIdle:
-		t.enter(c, idle)
+		t.enter(conn, idle)
 	case http.StateClosed, http.StateHijacked:
 		t.mu.Lock()
-		delete(t.conns, c)
+		delete(t.conns, conn)
 		t.signal()
 		t.mu.Unlock()
 	}
@@ -224,23 +221,7 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-func connOf(r *http.Request) net.Conn {
-	c, _ := r.Context().Value(connKey{}).(net.Conn)
+func connOf(r *http.Request) *clientConn {
+	c, _ := r.Context().Value(connKey{}).(*clientConn)
 	return c
 }
-
-// quiet tells that a connection is open with nothing to read.
-func quiet(c net.Conn) bool {
-	raw, err := c.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	var peek [1]byte
-	open := false
-	// Control, not Read: that would wait for the reader that every client's connection has.
-	err = raw.Control(func(fd uintptr) {
-		_, _, err := syscall.Recvfrom(int(fd), peek[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = err == syscall.EAGAIN
-	})
-	return err == nil && open
-}
--- a/internal/sidecar/frontend.go
+++ b/internal/sidecar/frontend.go
@@ -70,9 +70,6 @@
 
 // ServeHTTP answers the ready check and passes requests to the loop.
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if !f.conns.enter(connOf(r), serving) {
-		panic(http.ErrAbortHandler) // closed to make room: nothing is sent on
-	}
 	if f.closing.Load() {
 		w.Header().Set("Connection", "close") // this request is answered first
 	}
