Client connections: a client that has gone is noticed behind what it sent on

Cause: net/http watches an open request's connection by reading one byte and stops at the first it gets. A client that sent anything behind its request and closed was not noticed: attempts went on, and what it had sent was read as its next request. A request that net/http had in hand while its client left was sent on too.

Before: TestClientThatSendsOnAndLeaves waits in vain from one byte on, TestRequestInHandOfAClientThatLeft sees 2 requests sent on instead of 1. TestRequestsBehindEachOther fails against a read that forgets what was read ahead. TestNothingIsSentOnForAClientThatLeft (right before): planted hang-ups that the loop is not told, with the check of final before the first byte and Finished in loop.go taken out: 2 attempts instead of 1, or a hang. TestClientThatDoesNotRead wrote 1,000 requests at once, which now is more than a client may send behind one. It asks for each answer once the last is made, and still waits for the bound on writing: without that bound it fails. go test ./internal/sidecar: ok; the new tests three times with -race: ok.

--- a/internal/sidecar/client_endings_test.go
+++ b/internal/sidecar/client_endings_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -239,3 +241,137 @@
 		t.Errorf("with nothing there: %d bytes, %v", n, err)
 	}
 }
+
+// A client that has gone is noticed also behind what it sent on: its request is over at once, not at its time. Who
+// sends more behind a request than a client may is told so.
+func TestClientThatSendsOnAndLeaves(t *testing.T) {
+	b := newHeld(t, "a", ok)
+	s := start(t, newConf(newRegistry(t).addr(), b.target))
+	for name, more := range map[string]string{
+		"nothing": "", "a byte": "G", "a request": s.text(s.request("lookup", time.Minute)),
+		"half a buffer": strings.Repeat("x", 4000), "a buffer": strings.Repeat("x", 5000), "much": strings.Repeat("x", 1<<20),
+	} {
+		t.Run(name, func(t *testing.T) {
+			before := b.requests.Load()
+			conn := s.dial()
+			send(t, conn, s.text(s.request("lookup", time.Minute)))
+			receive(t, "the request", b.came)
+			if io.WriteString(conn, more); len(more) > maxAhead { // it may be cut off while it sends
+				if got := status(t, bufio.NewReader(conn)); got != 400 {
+					t.Errorf("answered %d", got)
+				}
+			}
+			conn.Close()
+			until(t, "the request to be over", func() bool { return s.frontend.taken.Load() == 0 && s.frontend.conns.open() == 0 })
+			b.answer <- struct{}{} // to nobody
+			if n := b.requests.Load() - before; n != 1 {
+				t.Errorf("%d requests were sent on", n)
+			}
+		})
+	}
+}
+
+// What a client sent behind its request is its next one, if it stays, also where one follows another so.
+func TestRequestsBehindEachOther(t *testing.T) {
+	b := newHeld(t, "a", ok)
+	s := start(t, newConf(newRegistry(t).addr(), b.target))
+	conn := s.dial()
+	in := bufio.NewReader(conn)
+	ask := func(class string) { send(t, conn, s.text(s.request(class, patience))) }
+	ask("lookup")
+	receive(t, "the first request", b.came)
+	ask("charge")
+	ask("reserve")
+	for i := range 3 {
+		b.answer <- struct{}{}
+		if got := status(t, in); got != 200 {
+			t.Errorf("answer %d: %d", i, got)
+		}
+	}
+}
+
+// A client that leaves between its last answer and a request that net/http has in hand already is not asked for.
+func TestRequestInHandOfAClientThatLeft(t *testing.T) {
+	arrived := make(chan struct{}, 10)
+	f := bareFrontend(t, 10, 10, func(ev any) {
+		if a, is := ev.(arrival); is && a.call.finish() {
+			arrived <- struct{}{}
+			a.call.answers <- answer{status: 200}
+		}
+	})
+	srv := f.server()
+	follow := srv.ConnState
+	var client net.Conn
+	actives := 0
+	over := make(chan struct{})
+	srv.ConnState = func(c net.Conn, state http.ConnState) {
+		follow(c, state)
+		switch state {
+		case http.StateActive:
+			if actives++; actives == 2 {
+				client.(*net.TCPConn).CloseWrite()
+				until(t, "its end", func() bool { return peek(c.(*clientConn).raw) == io.EOF })
+			}
+		case http.StateClosed:
+			close(over)
+		}
+	}
+	go srv.Serve(f.conns)
+	defer srv.Close()
+	r := &running{t: t, Sidecar: &Sidecar{frontend: f}}
+	client = r.dial()
+	send(t, client, r.text(r.request("lookup", time.Second))+r.text(r.request("lookup", time.Second)))
+	receive(t, "the end", over)
+	if actives != 2 || len(arrived) != 1 {
+		t.Errorf("%d requests were read, %d sent on", actives, len(arrived))
+	}
+}
+
+// A client that leaves before its first attempt, or between two, is sent nothing on for, whatever comes then.
+func TestNothingIsSentOnForAClientThatLeft(t *testing.T) {
+	for name, first := range map[string]bool{"waiting for its first attempt": true, "between two attempts": false} {
+		t.Run(name, func(t *testing.T) {
+			var asked atomic.Int64 // for the client that leaves, the only one with GET
+			came, release := make(chan struct{}, 10), make(chan struct{})
+			serve := func(c net.Conn, r *http.Request, body string) bool {
+				if r.Method != http.MethodGet {
+					return ok(c, r, body)
+				}
+				asked.Add(1)
+				came <- struct{}{}
+				<-release
+				return respond("HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", true)(c, r, body)
+			}
+			reg := newRegistry(t)
+			one, other := newBackend(t, "a", serve), newBackend(t, "b", serve)
+			known, want := []target{one.target}, int64(1)
+			if first {
+				known, want = nil, 0
+			}
+			s := start(t, newConf(reg.addr(), known...))
+			conn := s.dial()
+			send(t, conn, s.text(s.request("lookup", time.Minute)))
+			if first {
+				until(t, "the request", func() bool { return s.frontend.taken.Load() == 1 })
+			} else {
+				receive(t, "the request", came)
+			}
+			conn.Close()
+			until(t, "the request to be over", func() bool { return s.frontend.taken.Load() == 0 })
+			watch := receive(t, "the watch", reg.calls)
+			watch.send(t, list{Rev: 2, All: true, Targets: []target{one.target, other.target}})
+			served := func() bool {
+				s.do(s.request("charge", 2*time.Second))
+				return other.requests.Load() > asked.Load()
+			}
+			until(t, "a request on the new list", served)
+			close(release)
+			for range 20 { // time in which the outcome would lead to another attempt
+				served()
+			}
+			if n := asked.Load(); n != want {
+				t.Errorf("%d attempts for the client that left, want %d", n, want)
+			}
+		})
+	}
+}
--- a/internal/sidecar/frontend.go
+++ b/internal/sidecar/frontend.go
@@ -143,6 +143,11 @@
 
 // serve waits for the one answer.
 func (f *frontend) serve(w http.ResponseWriter, r *http.Request, c *call) {
+	conn := connOf(r)
+	if gone := conn.gone(); gone != nil {
+		write(w, left(w, gone)) // net/http had it in hand while its client left
+		return
+	}
 	guard := time.NewTimer(time.Until(c.deadline) + millis(f.cfg.balance.AnswerSlack) + overdueWait)
 	defer guard.Stop()
 	f.post(arrival{c})
@@ -150,11 +155,10 @@
 	select {
 	case a = <-c.answers:
 	case <-r.Context().Done():
-		if c.finish() {
-			f.post(hangUp{c})
-			panic(http.ErrAbortHandler) // a return would write an empty 200, which no server made
+		var owed bool
+		if a, owed = f.conclude(c); owed {
+			a = left(w, conn.gone())
 		}
-		a = <-c.answers
 	case <-f.ending: // the request came before SIGTERM and has more time left than the process
 		a, _ = f.conclude(c)
 	case <-guard.C:
@@ -172,6 +176,16 @@
 	f.memory.give(a.held)
 }
 
+// left is the answer to a client that has ended its side: none, as a return would write an empty 200 that no server
+// made. Who sends on and on gets one.
+func left(w http.ResponseWriter, gone error) answer {
+	if gone != errAhead {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Connection", "close")
+	return answer{status: http.StatusBadRequest}
+}
+
 // conclude ends a call that the loop has not answered and reports so, or takes the answer that it has just given.
 func (f *frontend) conclude(c *call) (answer, bool) {
 	if !c.finish() {
--- a/internal/sidecar/frontend_test.go
+++ b/internal/sidecar/frontend_test.go
@@ -402,10 +402,13 @@
 	defer conn.Close()
 	conn.(*net.TCPConn).SetReadBuffer(4096)
 	conn.SetDeadline(time.Now().Add(patience))
-	for range 1000 { // more answers than the buffers between hold
+	for i := range int64(1000) { // more answers than the buffers between hold, each asked for once the last is made
 		if err := s.request("lookup", time.Second).Write(conn); err != nil {
 			break
 		}
+		until(t, "the request at the server, or an end", func() bool {
+			return b.requests.Load() > i || s.frontend.conns.open() == 0
+		})
 	}
 	until(t, "the connection to end", func() bool {
 		return s.frontend.conns.open() == 0 && s.frontend.taken.Load() == 0
