Drain: the table alone ends clients' connections, with their last answers

Causes, each in drain (sidecar.go) or in how net/http closes: - Shutdown closes connections that net/http holds to be idle without asking the table, also where a request is read, and drops what is read after it. - The listener was closed first: what waited in the machine's queue, or for room in Accept, was reset with its requests, and a request that crossed the end of a resting connection found nobody to come again to. - A close over unread bytes resets the connection, and what the client had not received of its answers went with that.

Change: frontend.finish takes Shutdown's place. It shuts what rests (this side first; its reader closes it), waits for those that serve, goes on accepting, takes what is queued last, and closes the rest at the time that held before. clientConn.Close ends sending first and lingers up to the client's end, 100 ms at most and never past the drain; it reads nothing meanwhile, counts as open and is the first to make room, also while net/http rests after a last answer. Answers written in the last phase end their connections, also of requests that came before it.

TestLastAnswerOverUnreadBytes fails on the code before (connection reset by peer in the second of three answers). Planted: TestRequestReadAtTheDrainIsAnswered fails with Shutdown put back, TestEndOfADrain with the listener closed first, TestNothingIsReadAfterTheShutdown with shutResting not marking, TestTooLargeHeadMakesRoom without CloseWrite's mark, TestSmallWritesAreNotHeldBack with SetNoDelay(false) in Accept. go test ./internal/sidecar: ok. With -race, twice, these tests and the older ones of drains and slow clients: one failure of TestLastAnswerOverUnreadBytes, which sent its bytes while the answer before was still being written; it now waits for the rest, and it and TestEndOfADrain passed ten times with -race.

--- a/internal/sidecar/client_conn.go
+++ b/internal/sidecar/client_conn.go
@@ -28,6 +28,10 @@
 // maxAhead is what is kept of bytes that come behind an open request: a further one without a body.
 const maxAhead = maxHead
 
+// lingerWait is how long a connection stays after its last answer while its client has not closed it: closed over
+// bytes that are unread it would be reset, and the answer may go with that. A process that ends has as long.
+const lingerWait = killMargin / 2
+
 // errAhead ends a client that sends on and on behind an open request.
 var errAhead = errors.New("too much is sent behind a request that is open")
 
@@ -141,6 +145,24 @@
 	}
 }
 
+// Close ends the connection. Sending ends first, so that a client has its last answer whatever it has sent meanwhile;
+// that is not read any more. net/http calls it where the connection's reader ends.
+func (c *clientConn) Close() error {
+	if until, lingers := c.table.leave(c); lingers && c.TCPConn.CloseWrite() == nil && c.SetReadDeadline(until) == nil {
+		c.raw.Read(func(uintptr) bool { // up to the client's end, or until then
+			err := peek(c.raw)
+			return err != nil && err != syscall.EAGAIN
+		})
+	}
+	return c.TCPConn.Close()
+}
+
+// CloseWrite is called by net/http behind a last answer, half a second before it closes.
+func (c *clientConn) CloseWrite() error {
+	c.table.enter(c, over)
+	return c.TCPConn.CloseWrite()
+}
+
 // resting tells that no request is open.
 func (c *clientConn) resting() bool {
 	c.table.mu.Lock()
--- a/internal/sidecar/client_endings_test.go
+++ b/internal/sidecar/client_endings_test.go
@@ -3,11 +3,14 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -123,6 +126,20 @@
 	f()
 }
 
+// awaitRest waits until the one connection is between requests and its reader waits for more.
+func (t *clientConns) awaitRest(test *testing.T) {
+	test.Helper()
+	until(test, "a rest", func() bool {
+		rests := false
+		t.do(func() {
+			for c := range t.conns {
+				rests = c.phase == idle && c.parked
+			}
+		})
+		return rests
+	})
+}
+
 // A request that net/http has read in the very moment in which connections are closed is answered: the drain comes
 // between the read and the handler.
 func TestRequestReadAtTheCloseIsAnswered(t *testing.T) {
@@ -135,7 +152,7 @@
 	follow := srv.ConnState
 	srv.ConnState = func(c net.Conn, state http.ConnState) {
 		if state == http.StateActive {
-			f.conns.dropSilent()
+			f.conns.shutResting()
 		}
 		follow(c, state)
 	}
@@ -207,7 +224,7 @@
 				t.Errorf("makes room: %v", room == conn)
 			}
 			if !tt.room {
-				table.dropSilent()
+				table.shutResting()
 				if _, err := conn.Write([]byte("x")); err != nil {
 					t.Error("closed at a drain:", err)
 				}
@@ -226,6 +243,19 @@
 	}
 }
 
+// Of a connection that is shut nothing is read, though its reader has its turn only once a request is there.
+func TestNothingIsReadAfterTheShutdown(t *testing.T) {
+	table := bareFrontend(t, 10, 10, nil).conns
+	client, conn := table.dialed(t)
+	table.do(func() { conn.phase, conn.parked = idle, true })
+	table.shutResting()
+	send(t, client, "GET")
+	until(t, "the bytes", func() bool { return !quiet(conn.TCPConn) })
+	if n, err := conn.Read(make([]byte, 10)); n != 0 || err == nil {
+		t.Errorf("%d bytes, %v", n, err)
+	}
+}
+
 // A request that comes in the last moment of a rest is read, though the time is over when its reader looks.
 func TestRequestAtTheEndOfARest(t *testing.T) {
 	table := bareFrontend(t, 10, 10, nil).conns
@@ -375,3 +405,217 @@
 		})
 	}
 }
+
+// A request that crosses the end of a resting connection, or half of one, is not read, and resets nothing: the client
+// sees an end and is served on a new connection. What waits to be accepted is served too, one by one where there is
+// room for one, and each answer ends its connection.
+func TestEndOfADrain(t *testing.T) {
+	calls := make(chan *call, 10)
+	f := bareFrontend(t, 1, 1, func(ev any) {
+		if a, is := ev.(arrival); is {
+			calls <- a.call
+		}
+	})
+	srv := f.server()
+	served, ended := make(chan error, 1), make(chan error, 1)
+	go func() { served <- srv.Serve(f.conns) }()
+	r := &running{t: t, Sidecar: &Sidecar{frontend: f}}
+	reply := func(in *bufio.Reader) {
+		t.Helper()
+		c := receive(t, "a request", calls)
+		c.finish()
+		c.answers <- answer{status: 200}
+		if got := status(t, in); got != 200 {
+			t.Errorf("answered %d", got)
+		}
+	}
+	conn := r.dial()
+	in := bufio.NewReader(conn)
+	text := r.text(r.request("lookup", patience))
+	send(t, conn, text)
+	reply(in)
+	f.conns.awaitRest(t)
+	f.conns.shutResting()
+	send(t, conn, text) // after the shutdown, before the close
+	if _, err := in.ReadByte(); err != io.EOF {
+		t.Errorf("the end: %v", err)
+	}
+	if len(calls) > 0 {
+		t.Error("what came after the end was sent on")
+	}
+	conn.Close()
+
+	var waiting []*bufio.Reader
+	for range 3 {
+		conn := r.dial()
+		send(t, conn, r.text(r.request("lookup", patience)))
+		waiting = append(waiting, bufio.NewReader(conn))
+	}
+	c := receive(t, "the first", calls)
+	go func() { ended <- f.finish(srv, served, time.Now().Add(patience)) }()
+	until(t, "the end", f.closing.Load)
+	calls <- c
+	for _, in := range waiting {
+		reply(in)
+		if _, err := in.ReadByte(); err != io.EOF {
+			t.Errorf("after the answer: %v", err)
+		}
+	}
+	if err := receive(t, "the end", ended); err != nil {
+		t.Error(err)
+	}
+	if _, err := net.Dial("tcp", f.conns.Addr().String()); err == nil {
+		t.Error("connects after the end")
+	}
+}
+
+// A last answer that its client has not read yet comes whole though the client sent more, which is never read.
+func TestLastAnswerOverUnreadBytes(t *testing.T) {
+	body := strings.Repeat("x", maxBody)
+	b := newBackend(t, "a", respond(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body), true))
+	s := start(t, newConf(newRegistry(t).addr(), b.target), func(s *Sidecar) { s.frontend.conns.lingerWait = patience })
+	conn := s.dial()
+	if err := conn.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil { // so that answers wait on the sidecar's side
+		t.Fatal(err)
+	}
+	bad := s.request("charge", time.Second)
+	bad.Header.Set("X-Priority-Class", "none")
+	for range 2 {
+		send(t, conn, s.text(s.request("lookup", patience)))
+	}
+	until(t, "the answers", func() bool { return b.requests.Load() == 2 && s.frontend.taken.Load() == 0 })
+	s.frontend.conns.awaitRest(t)
+	send(t, conn, s.text(bad)+strings.Repeat("x", 10<<10))
+	until(t, "the end", func() bool {
+		phase := serving
+		s.frontend.conns.do(func() {
+			for c := range s.frontend.conns.conns {
+				if phase = c.phase; !c.shut {
+					phase = serving
+				}
+			}
+		})
+		return phase == over
+	})
+	conn.(*net.TCPConn).SetReadBuffer(1 << 20)
+	in := bufio.NewReader(conn)
+	for i, want := range []int{200, 200, 400, 0} {
+		if got := status(t, in); got != want {
+			t.Errorf("answer %d: %d, want %d", i, got, want)
+		}
+	}
+	s.term()
+	if err := receive(t, "the end, which waits for no linger", s.ended); err != nil {
+		t.Error(err)
+	}
+	s.ended <- nil
+}
+
+// A connection whose head is too large makes room once its answer is written, while net/http lets it rest.
+func TestTooLargeHeadMakesRoom(t *testing.T) {
+	s := start(t, newConf(newRegistry(t).addr()), func(s *Sidecar) { s.frontend.conns.lingerWait = 0 })
+	conn := s.dial()
+	send(t, conn, "GET /api HTTP/1.1\r\nHost: b\r\nX: "+strings.Repeat("x", 2*maxHead))
+	if got := status(t, bufio.NewReader(conn)); got != 431 {
+		t.Errorf("answered %d", got)
+	}
+	until(t, "room", func() bool {
+		room := false
+		s.frontend.conns.do(func() {
+			if len(s.frontend.conns.conns) == 0 {
+				t.Fatal("it is closed, and made no room before")
+			}
+			room = s.frontend.conns.makeRoom() != nil
+		})
+		return room
+	})
+}
+
+// Small writes go out at once, also where the peer acknowledges late.
+func TestSmallWritesAreNotHeldBack(t *testing.T) {
+	_, conn := bareFrontend(t, 10, 10, nil).conns.dialed(t)
+	held := 0
+	conn.raw.Control(func(fd uintptr) {
+		held, _ = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_NODELAY)
+	})
+	if held != 1 {
+		t.Error("TCP_NODELAY is off")
+	}
+}
+
+// lateConn gives what it has read to its reader when the test says so.
+type lateConn struct {
+	*clientConn
+	read    chan struct{}
+	release chan struct{}
+}
+
+func (c *lateConn) Read(p []byte) (int, error) {
+	n, err := c.clientConn.Read(p)
+	if n > 1 {
+		c.read <- struct{}{}
+		<-c.release
+	}
+	return n, err
+}
+
+// lateListener makes all connections late ones.
+type lateListener struct {
+	*clientConns
+	read, release chan struct{}
+}
+
+func (l lateListener) Accept() (net.Conn, error) {
+	c, err := l.clientConns.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &lateConn{c.(*clientConn), l.read, l.release}, nil
+}
+
+// A request that was read when the drain came to its end is answered, though net/http holds its connection to be idle
+// still; one that rests is closed.
+func TestRequestReadAtTheDrainIsAnswered(t *testing.T) {
+	f := bareFrontend(t, 10, 10, func(ev any) {
+		if a, is := ev.(arrival); is && a.call.finish() {
+			a.call.answers <- answer{status: 200}
+		}
+	})
+	l := lateListener{f.conns, make(chan struct{}, 10), make(chan struct{}, 10)}
+	srv := f.server()
+	follow, withConn := srv.ConnState, srv.ConnContext
+	srv.ConnState = func(c net.Conn, state http.ConnState) { follow(c.(*lateConn).clientConn, state) }
+	srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return withConn(ctx, c.(*lateConn).clientConn)
+	}
+	served, ended := make(chan error, 1), make(chan error, 1)
+	go func() { served <- srv.Serve(l) }()
+	r := &running{t: t, Sidecar: &Sidecar{frontend: f}}
+	var conns [2]net.Conn
+	var ins [2]*bufio.Reader
+	for i := range conns {
+		conns[i] = r.dial()
+		ins[i] = bufio.NewReader(conns[i])
+		l.release <- struct{}{}
+		send(t, conns[i], r.text(r.request("lookup", patience)))
+		receive(t, "the request", l.read)
+		if got := status(t, ins[i]); got != 200 {
+			t.Fatal(got)
+		}
+	}
+	send(t, conns[0], r.text(r.request("lookup", patience)))
+	receive(t, "the next request", l.read)
+	go func() { ended <- f.finish(srv, served, time.Now().Add(patience)) }()
+	if got := status(t, ins[1]); got != 0 {
+		t.Errorf("the resting one: %d", got)
+	}
+	l.release <- struct{}{}
+	if got := status(t, ins[0]); got != 200 {
+		t.Errorf("the one that was read: %d", got)
+	}
+	conns[0].Close()
+	conns[1].Close()
+	if err := receive(t, "the end", ended); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/sidecar/conns.go
+++ b/internal/sidecar/conns.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 )
@@ -22,7 +24,10 @@
 	closed chan struct{}
 	close  sync.Once
 
+	lingerWait time.Duration
+
 	mu      sync.Mutex
+	end     time.Time // no connection lingers any longer; zero: no drain yet
 	conns   map[*clientConn]struct{}
 	scratch [4 << 10]byte // for one read
 }
@@ -30,13 +35,16 @@
 func newClientConns(listener net.Listener, most, keep int) *clientConns {
 	return &clientConns{
 		TCPListener: listener.(*net.TCPListener), most: most, keep: keep,
-		freed: make(chan struct{}, 1), closed: make(chan struct{}), conns: map[*clientConn]struct{}{},
+		freed: make(chan struct{}, 1), closed: make(chan struct{}), conns: map[*clientConn]struct{}{}, lingerWait: lingerWait,
 	}
 }
 
 // Accept takes the next connection and makes room for it.
 func (t *clientConns) Accept() (net.Conn, error) {
 	tcp, err := t.AcceptTCP()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, net.ErrClosed // acceptLast: net/http would try again
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -141,23 +149,54 @@
 	c.shut = true
 }
 
-// dropSilent closes all connections that wait for nothing, at a drain.
-func (t *clientConns) dropSilent() {
+// leave marks a connection that ends and tells how long it may linger for its client's sake.
+func (t *clientConns) leave(c *clientConn) (until time.Time, lingers bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	until = now.Add(t.lingerWait)
+	if !t.end.IsZero() && t.end.Before(until) {
+		until = t.end
+	}
+	c.shut, c.phase, c.since = true, over, now
+	t.signal()
+	return until, (c.ended == nil || c.ended == errAhead) && now.Before(until)
+}
+
+// shutResting ends all connections on which nothing is owed, at a drain. Their readers close them. On a new one a
+// request may be on its way.
+func (t *clientConns) shutResting() {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	now := time.Now()
-	var rest []*clientConn
 	for c := range t.conns {
-		if c.waits(now) && quiet(c.TCPConn) {
-			t.drop(c)
-			rest = append(rest, c)
+		fresh := c.phase == silent && now.Sub(c.since) < readSoon
+		if c.phase == over || fresh || !c.waits(now) || !quiet(c.TCPConn) {
+			continue
 		}
+		c.shut, c.phase, c.since = true, over, now
+		c.TCPConn.CloseWrite()
+		c.SetReadDeadline(now) // wakes its reader
 	}
+}
+
+// finish ends connections as soon as nothing is owed on them. It tells whether all have ended by then.
+func (t *clientConns) finish(by time.Time) bool {
+	t.mu.Lock()
+	t.end = by
 	t.mu.Unlock()
-	for _, c := range rest {
-		c.TCPConn.Close()
+	for ; t.open() > 0; time.Sleep(lookAgain) {
+		if time.Now().After(by) {
+			return false
+		}
+		t.shutResting()
 	}
+	return true
 }
 
+// acceptLast takes what waits to be accepted and ends accepting.
+func (t *clientConns) acceptLast() error { return t.SetDeadline(time.Now().Add(lookAgain)) }
+
 // inUse tells whether there is a connection on which requests came and more may come.
 func (t *clientConns) inUse() bool {
 	t.mu.Lock()
--- a/internal/sidecar/frontend.go
+++ b/internal/sidecar/frontend.go
@@ -68,6 +68,24 @@
 	}
 }
 
+// finish ends all connections with their answers, and accepting once none is left: a request that crosses an end comes
+// again on a new one. served tells that accepting has ended. net/http's own Shutdown closes what it takes to be idle
+// also where a request is read.
+func (f *frontend) finish(srv *http.Server, served <-chan error, by time.Time) error {
+	f.closing.Store(true)
+	if f.conns.finish(by) {
+		if err := f.conns.acceptLast(); err != nil {
+			return err
+		}
+		select {
+		case <-served:
+		case <-time.After(time.Until(by)):
+		}
+		f.conns.finish(by)
+	}
+	return srv.Close() // what is left cannot take its answer
+}
+
 // ServeHTTP answers the ready check and passes requests to the loop.
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if f.closing.Load() {
@@ -172,6 +190,9 @@
 	c.writing.Lock()
 	c.writing.Unlock() //nolint:staticcheck // only waits
 	f.limitWrite(w)
+	if f.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	write(w, a)
 	f.memory.give(a.held)
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"math"
@@ -163,13 +162,13 @@
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 	}
-	return s.drain(srv)
+	return s.drain(srv, failed)
 }
 
 // drain goes on serving while the application uses its connections, up to shortly before the process may be
 // killed, then ends them with their answers. Connections that wait for nothing hold it up no longer than new
 // ones may come.
-func (s *Sidecar) drain(srv *http.Server) error {
+func (s *Sidecar) drain(srv *http.Server, served <-chan error) error {
 	slog.Info("draining")
 	end := time.Now().Add(s.drainServe + lastAnswers)
 	s.frontend.drain.Store(&end)
@@ -181,17 +180,7 @@
 	for s.frontend.conns.inUse() && time.Until(end) > lastAnswers {
 		<-poll.C
 	}
-	s.frontend.closing.Store(true)
-	s.frontend.conns.Close()
-	s.frontend.conns.dropSilent()
-	ctx, cancel := context.WithDeadline(context.Background(), end.Add(killMargin/2))
-	defer cancel()
-	err := srv.Shutdown(ctx)
-	if errors.Is(err, context.DeadlineExceeded) {
-		// What is left cannot take its answer or has never sent a request.
-		err = srv.Close()
-	}
-	if err != nil {
+	if err := s.frontend.finish(srv, served, end.Add(killMargin/2)); err != nil {
 		return fmt.Errorf("drain: %w", err)
 	}
 	slog.Info("drained")
