--- a/internal/sidecar/frontend.go
+++ b/internal/sidecar/frontend.go
@@ -68,11 +68,26 @@
 	}
 }
 
+// finish ends all connections with their answers, and accepting once none is left: a request that crosses an end comes
+// again on a new one. served tells that accepting has ended. net/http's own Shutdown closes what it takes to be idle
+// also where a request is read.
+func (f *frontend) finish(srv *http.Server, served <-chan error, by time.Time) error {
+	f.closing.Store(true)
+	if f.conns.finish(by) {
+		if err := f.conns.acceptLast(); err != nil {
+			return err
+		}
+		select {
+		case <-served:
+		case <-time.After(time.Until(by)):
+		}
+		f.conns.finish(by)
+	}
+	return srv.Close() // what is left cannot take its answer
+}
+
 // ServeHTTP answers the ready check and passes requests to the loop.
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if !f.conns.enter(connOf(r), serving) {
-		panic(http.ErrAbortHandler) // closed to make room: nothing is sent on
-	}
 	if f.closing.Load() {
 		w.Header().Set("Connection", "close") // this request is answered first
 	}
@@ -146,6 +161,11 @@
 
 // serve waits for the one answer.
 func (f *frontend) serve(w http.ResponseWriter, r *http.Request, c *call) {
+	conn := connOf(r)
+	if gone := conn.gone(); gone != nil {
+		write(w, left(w, gone)) // net/http had it in hand while its client left
+		return
+	}
 	guard := time.NewTimer(time.Until(c.deadline) + millis(f.cfg.balance.AnswerSlack) + overdueWait)
 	defer guard.Stop()
 	f.post(arrival{c})
@@ -153,11 +173,10 @@
 	select {
 	case a = <-c.answers:
 	case <-r.Context().Done():
-		if c.finish() {
-			f.post(hangUp{c})
-			return
+		var owed bool
+		if a, owed = f.conclude(c); owed {
+			a = left(w, conn.gone())
 		}
-		a = <-c.answers
 	case <-f.ending: // the request came before SIGTERM and has more time left than the process
 		a, _ = f.conclude(c)
 	case <-guard.C:
@@ -171,10 +190,23 @@
 	c.writing.Lock()
 	c.writing.Unlock() //nolint:staticcheck // only waits
 	f.limitWrite(w)
+	if f.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	write(w, a)
 	f.memory.give(a.held)
 }
 
+// left is the answer to a client that has ended its side: none, as a return would write an empty 200 that no server
+// made. Who sends on and on gets one.
+func left(w http.ResponseWriter, gone error) answer {
+	if gone != errAhead {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Connection", "close")
+	return answer{status: http.StatusBadRequest}
+}
+
 // conclude ends a call that the loop has not answered and reports so, or takes the answer that it has just given.
 func (f *frontend) conclude(c *call) (answer, bool) {
 	if !c.finish() {
