--- a/cmd/silverreel/discovery_test.go
+++ b/cmd/silverreel/discovery_test.go
@@ -75,23 +75,39 @@
 	first   int                    // its place in the answers that ask returns
 	end     func()                 // the program, in good order
 	servers []*httptest.Server
+	client  *http.Client
+	pid     int
 }
 
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
-	f := &fleet{t: t, service: newService(t)}
+	return newFleetOf(t, "automatic", 1, 0)
+}
+
+// newFleetOf says how lists are told, of how many sidecars there is talk, and what descriptors the system and the
+// configuration allow; 0: as usual.
+func newFleetOf(t *testing.T, mode string, peers, sockets int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, service: newService(t), client: http.DefaultClient}
 	for i := range 2 {
 		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, i) }))
 		t.Cleanup(srv.Close)
 		f.servers = append(f.servers, srv)
 	}
 	config := func(discovery string) string {
-		return fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"1","settings":{
-		"discovery":"automatic","quantum_ms":2,"rules":{"drain_grace_ms":750},"limits":{"max_attempts":2},
-		"classes":[{"name":"c","effect":"read_like","group":"all","on_time_ms":500,"hard_limit_ms":2000}]}}`, discovery)
-	}
-	cmd, lines, addr := started(t, config(f.service.Addr().String()))
-	f.addr = addr
+		return fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"1","limits":{"sockets":%d},"settings":{
+		"discovery":%q,"peers_total":%d,"quantum_ms":2,"rules":{"drain_grace_ms":750,"ask_within_ms":10000},
+		"limits":{"max_attempts":2},
+		"classes":[{"name":"c","effect":"read_like","group":"all","on_time_ms":500,"hard_limit_ms":2000}]}}`,
+			discovery, sockets, mode, peers)
+	}
+	cmd, _ := program(t, config(f.service.Addr().String()))
+	if sockets > 0 {
+		cmd.Args = []string{"sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0"`, sockets), cmd.Path}
+		cmd.Path = "/bin/sh"
+	}
+	cmd, lines, addr := launch(t, cmd)
+	f.addr, f.pid = addr, cmd.Process.Pid
 	f.hangUp = func(discovery string) {
 		for _, v := range cmd.Env {
 			if path, found := strings.CutPrefix(v, "NODE_CONFIG="); found {
@@ -139,7 +155,7 @@
 	for name, v := range map[string]string{"X-Request-ID": fmt.Sprintf("%016x", time.Now().UnixNano()), "X-Priority-Class": "c", "X-Timeout-Ms": "1000"} {
 		req.Header.Set(name, v)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := f.client.Do(req)
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/cmd/silverreel/main.go
+++ b/cmd/silverreel/main.go
@@ -21,11 +21,17 @@
 }
 
 func run() error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	hup := make(chan os.Signal, 1) // before all else: SIGHUP never ends the process
+	// Before all else and up to the end of the process, as one of these may come at any time: SIGHUP never ends it, and
+	// a second SIGTERM does not kill what is ending well.
+	hup, term := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	go func() {
+		<-term
+		end()
+	}()
 	cfg, err := sidecar.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
--- a/cmd/silverreel/main_test.go
+++ b/cmd/silverreel/main_test.go
@@ -7,17 +7,28 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 )
 
-// The test binary stands in for the program where this is set.
-const asProgram = "SILVERREEL_TEST_AS_PROGRAM"
+// The test binary stands in for the program where the first is set; the second names signals that come last of all.
+const (
+	asProgram   = "SILVERREEL_TEST_AS_PROGRAM"
+	lastSignals = "SILVERREEL_TEST_LAST_SIGNALS"
+)
 
 func TestMain(m *testing.M) {
 	if os.Getenv(asProgram) != "" {
 		main()
+		if os.Getenv(lastSignals) != "" {
+			runtime.LockOSThread() // to this very thread they come at once, not on the way out
+			for _, sig := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM} {
+				syscall.RawSyscall(syscall.SYS_TGKILL, uintptr(os.Getpid()), uintptr(syscall.Gettid()), uintptr(sig))
+			}
+		}
 		return
 	}
 	os.Exit(m.Run())
@@ -65,6 +76,12 @@
 func started(t *testing.T, config string) (cmd *exec.Cmd, lines *bufio.Scanner, addr string) {
 	t.Helper()
 	cmd, _ = program(t, config)
+	return launch(t, cmd)
+}
+
+// launch is started for a program that the test prepared.
+func launch(t *testing.T, cmd *exec.Cmd) (_ *exec.Cmd, lines *bufio.Scanner, addr string) {
+	t.Helper()
 	cmd.Stderr = nil
 	log, err := cmd.StderrPipe()
 	if err != nil {
@@ -73,6 +90,8 @@
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
+	late := time.AfterFunc(patience, func() { cmd.Process.Kill() })
+	defer late.Stop()
 	lines = bufio.NewScanner(log)
 	_, addr = logged(t, lines, "listen=")
 	return cmd, lines, addr
@@ -97,6 +116,9 @@
 	}
 	for lines.Scan() {
 		t.Log(lines.Text())
+		if strings.Contains(lines.Text(), "too many open files") {
+			t.Error("it ran out of descriptors")
+		}
 	}
 	if err := cmd.Wait(); err != nil {
 		t.Errorf("ended with %v", err)
