Endings: lists told during the start, and moves of discovery there and back, as tests

The code was right; each test fails against a fault that was planted and taken out again. - TestListToldBeforeTheFirstRequest (known list older or newer, whole lists and changes): planted a list with a lower rev than the known one's left out; a drain taken for ready. - TestListInOneBatchWithTheFirstRequest (the loop stands still until both wait): planted news dropped while requests wait; a drain taken for ready. - TestMovedThereAndBack (two SIGHUPs to another service and back, then one to the same): planted news of any service taken; the rev kept over a move; a move to the same address.

--- a/internal/sidecar/watch_endings_test.go
+++ b/internal/sidecar/watch_endings_test.go
@@ -214,3 +214,122 @@
 		})
 	}
 }
+
+// heldListener takes no connection before it is opened.
+type heldListener struct {
+	net.Listener
+	open chan struct{}
+}
+
+func (h heldListener) Accept() (net.Conn, error) {
+	<-h.open
+	return h.Listener.Accept()
+}
+
+// A list that comes before the sidecar takes its first connection holds at once, whether the known one's rev is older or
+// newer, and a drain in it is obeyed by the first request.
+func TestListToldBeforeTheFirstRequest(t *testing.T) {
+	for _, known := range []int64{1, 5, 900} {
+		for _, all := range []bool{true, false} {
+			a, b := newBackend(t, "a", ok), newBackend(t, "b", ok)
+			r, open := newRegistry(t), make(chan struct{})
+			serve := sync.OnceFunc(func() { close(open) })
+			defer serve()
+			c := newConf(r.addr())
+			c["known"] = list{Rev: known, All: true, Targets: []target{a.target}}
+			s := start(t, c, func(s *Sidecar) {
+				s.frontend.conns.Listener = heldListener{s.frontend.conns.Listener, open}
+			})
+			answers := s.goDo(s.request("charge", 2*time.Second))
+			watch := receive(t, "the watch", r.calls)
+			if want := fmt.Sprintf("watch=1&after=%d", known); watch.query != want {
+				t.Errorf("asked %q, want %q", watch.query, want)
+			}
+			told := toggled(6, a, b, "Terminating")
+			told.All = all
+			watch.send(t, told)
+			until(t, "the list", func() bool { return s.loop.disc.rev.Load() == 6 })
+			serve()
+			if got := <-answers; got.status != 200 || a.requests.Load() != 0 || b.requests.Load() != 1 {
+				t.Errorf("known %d, whole %v: %+v, %d sent to the one that drains", known, all, got, a.requests.Load())
+			}
+		}
+	}
+}
+
+// A list and the first request come in one batch, in either order: with no server known the request has its answer, and
+// after the news of a drain nothing begins there.
+func TestListInOneBatchWithTheFirstRequest(t *testing.T) {
+	for _, first := range []string{"list", "request"} {
+		for _, known := range []bool{false, true} {
+			a, b := newBackend(t, "a", ok), newBackend(t, "b", ok)
+			held, release := make(chan struct{}), make(chan struct{})
+			resume := sync.OnceFunc(func() { close(release) })
+			defer resume()
+			c := newConf(newRegistry(t).addr())
+			if known {
+				c["known"] = list{Rev: 1, All: true, Targets: []target{a.target}}
+			}
+			s := start(t, c, func(s *Sidecar) {
+				s.loop.disc.start = func(func()) { // the loop stands still as it opens its watch
+					close(held)
+					<-release
+				}
+			})
+			receive(t, "the loop to stand", held)
+			var answers <-chan result
+			for _, what := range []string{first, "the other"} {
+				waiting := len(s.loop.inbox)
+				if what == "list" || what == "the other" && first == "request" {
+					s.loop.post(news{kind: balance.ListFull, list: toggled(2, a, b, "Terminating")})
+				} else {
+					answers = s.goDo(s.request("charge", time.Second))
+				}
+				until(t, what, func() bool { return len(s.loop.inbox) == waiting+1 })
+			}
+			resume()
+			if got := <-answers; got.status != 200 || first == "list" && a.requests.Load() > 0 {
+				t.Errorf("%s first, known %v: %+v, %d sent to the one that drains", first, known, got, a.requests.Load())
+			}
+		}
+	}
+}
+
+// SIGHUP leads to another service and back, with and without a call there, and then names the same one again: the first
+// is asked from the beginning, what the other one told late counts for nothing, and a watch that stands is left alone.
+func TestMovedThereAndBack(t *testing.T) {
+	for _, mode := range []string{"subscribe", "automatic"} {
+		for _, called := range []bool{true, false} {
+			a, b := newBackend(t, "a", ok), newBackend(t, "b", ok)
+			home, away := newRegistry(t), newRegistry(t)
+			s := start(t, newConf(home.addr(), a.target).setting(`"subscribe"`, fmt.Sprintf("%q", mode)))
+			watch := receive(t, "the watch", home.calls)
+			watch.send(t, list{Rev: 5, All: true, Targets: []target{a.target}})
+			until(t, "the list", func() bool { return s.loop.disc.rev.Load() == 5 })
+			s.moveTo(away.addr())
+			if called {
+				call := receive(t, "the call elsewhere", away.calls)
+				s.moveTo(home.addr())
+				receive(t, "the call elsewhere to end", call.gone)
+			} else {
+				s.moveTo(home.addr())
+			}
+			receive(t, "the first watch to end", watch.gone)
+			if watch = receive(t, "the watch again", home.calls); watch.query != "watch=1" {
+				t.Errorf("asked %q", watch.query)
+			}
+			s.loop.post(news{gen: 1, list: toggled(9, a, b, "Gone")}) // queued from elsewhere
+			watch.send(t, list{Rev: 3, Targets: []target{a.target}})
+			until(t, "the list from the first", func() bool { return s.loop.disc.rev.Load() == 3 })
+			s.moveTo(home.addr())
+			if got := s.do(s.request("charge", time.Second)); got.status != 200 || a.requests.Load() != 1 {
+				t.Errorf("%+v", got)
+			}
+			watch.send(t, toggled(4, a, b, "Terminating"))
+			until(t, "the change", func() bool { return s.loop.disc.rev.Load() == 4 })
+			if got := s.do(s.request("charge", time.Second)); got.status != 200 || b.requests.Load() != 1 || len(home.calls) > 0 {
+				t.Errorf("%+v, %d more calls", got, len(home.calls))
+			}
+		}
+	}
+}
