Endings: discovery that is back answers every call, as the crowd may outlast one

While the test's 300 clients connect, a silent call may have been given up; answered alone, it would have left the next without an answer on a busy machine. Two long lines are broken. No check is eased.

--- a/cmd/silverreel/endings_test.go
+++ b/cmd/silverreel/endings_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -23,6 +24,23 @@
 	c.Close()
 }
 
+// back has a service answer every call from now on, also one that has waited, with the same text.
+func (s *service) back(t *testing.T, text string) {
+	done := make(chan struct{})
+	var work sync.WaitGroup
+	work.Go(func() {
+		for {
+			select {
+			case c := <-s.calls:
+				io.WriteString(c, text)
+			case <-done:
+				return
+			}
+		}
+	})
+	t.Cleanup(func() { close(done); work.Wait() })
+}
+
 // crowd fills the sidecar with more clients than it has room for: every other one sends a request, gets its answer and
 // rests, the others send nothing.
 func (f *fleet) crowd() {
@@ -77,7 +95,7 @@
 				reset(t, f.service.call(t))
 				reset(t, f.service.call(t))
 				back := time.Now()
-				io.WriteString(f.service.call(t), listHead+f.list(2, false, "Terminating", ""))
+				f.service.back(t, listHead+f.list(2, false, "Terminating", ""))
 				f.settles("the drain", back.Add(toldBy), func(a string) bool { return a == "1" })
 
 				crowd()
@@ -85,7 +103,7 @@
 				f.first = 1
 				f.hangUp(next.Addr().String())
 				hup := time.Now()
-				io.WriteString(next.call(t), listHead+f.list(1, true, "Terminating", ""))
+				next.back(t, listHead+f.list(1, true, "Terminating", ""))
 				f.settles("the move", hup.Add(4*time.Second+750*time.Millisecond), func(a string) bool { return a == "0" })
 
 				crowd()
@@ -105,7 +123,8 @@
 	for _, addr := range []string{"127.0.0.1:1", silent.Addr().String()} {
 		for _, mode := range []string{"automatic", "subscribe"} {
 			began := time.Now()
-			cmd, lines, listen := started(t, strings.NewReplacer("127.0.0.1:1", addr, `"classes"`, `"discovery":"`+mode+`","classes"`).Replace(config))
+			cmd, lines, listen := started(t, strings.NewReplacer(
+				"127.0.0.1:1", addr, `"classes"`, `"discovery":"`+mode+`","classes"`).Replace(config))
 			resp, err := http.Get("http://" + listen + "/health/ready")
 			if err != nil {
 				t.Fatal(err)
--- a/internal/sidecar/watch_endings_test.go
+++ b/internal/sidecar/watch_endings_test.go
@@ -178,6 +178,10 @@
 	}
 	alive := func(far net.Conn) { io.WriteString(far, head+"\n") }
 	hush := func(net.Conn) {}
+	endsAlive := func(far net.Conn) {
+		alive(far)
+		after(queueLeast, closeAtOnce)(far)
+	}
 	for name, c := range map[string]struct {
 		scripts []func(net.Conn)
 		queued  bool
@@ -186,7 +190,7 @@
 		"refused at once":         {[]func(net.Conn){refuse}, false, 1},
 		"refused after a wait":    {[]func(net.Conn){after(queueLeast, refuse)}, true, 1},
 		"closed after a wait":     {[]func(net.Conn){after(queueLeast, closeAtOnce)}, false, 1},
-		"stood, then closed":      {[]func(net.Conn){func(far net.Conn) { alive(far); after(queueLeast, closeAtOnce)(far) }}, false, 1},
+		"stood, then closed":      {[]func(net.Conn){endsAlive}, false, 1},
 		"the first of a queue":    {[]func(net.Conn){after(waits, refuse), refuse}, false, 2},
 		"the third of a queue":    {[]func(net.Conn){hush, hush, after(waits, refuse)}, true, 3},
 		"a silence after a watch": {[]func(net.Conn){hush, hush, alive, after(waits, refuse), refuse}, false, 5},
