--- a/balance/pick.go
+++ b/balance/pick.go
@@ -33,6 +33,7 @@
 	}
 	if !repeat {
 		b.pool = total + b.hidden.weight
+		b.pools.add(b.now, paceAims*b.longestAim, b.pool)
 		b.turn++
 		for _, s := range b.hidden.servers { // they get none
 			s.turn++
@@ -49,7 +50,7 @@
 	var best *server
 	bestOver := false
 	for _, s := range from {
-		if !b.mayTake(s) {
+		if !b.mayTake(s, keyed) {
 			continue
 		}
 		over := b.over(s)
@@ -67,7 +68,7 @@
 	return best
 }
 
-func (b *Balancer) mayTake(s *server) bool { return !b.cold(s) || b.coldBudget(s) }
+func (b *Balancer) mayTake(s *server, keyed bool) bool { return !b.cold(s) || b.coldBudget(s, keyed) }
 
 // over is bounded load: a server that holds more than its share is slow, hung or filled by others, whatever
 // its errors say. It is passed over and keeps its running value for later.
--- a/balance/plain_test.go
+++ b/balance/plain_test.go
@@ -44,6 +44,7 @@
 				b.pool += b.plainWeight(s)
 			}
 		}
+		b.pools.add(b.now, paceAims*b.longestAim, b.pool)
 	}
 	for _, s := range b.entered {
 		if allRest && !repeat {
@@ -65,7 +66,7 @@
 	var best *server
 	bestOver := false
 	for _, s := range from {
-		if b.cold(s) && !b.coldBudget(s) {
+		if !b.mayTake(s, keyed) {
 			continue
 		}
 		over := b.over(s)
--- a/balance/state.go
+++ b/balance/state.go
@@ -33,6 +33,7 @@
 	keys    keyMeter // how often each key is asked for
 	byID    map[ServerID]*server
 	pool    float64         // sum of weights at the last first pick
+	pools   ewma            // ... and at the last ones, over the time of pace
 	kinds   map[int]float64 // learned logarithm of size by kind
 	zones   map[int]float64 // ... and by zone
 	learned float64         // times learn was called
@@ -190,6 +191,14 @@
 	return (m.n*math.Exp((m.at-now)/span)/math.Max(-math.Expm1((start-now)/span), 0.05) + assumed) / span
 }
 
+// ewma is a mean over time that forgets exponentially.
+type ewma struct{ mean, at float64 }
+
+func (e *ewma) add(now, span, value float64) {
+	e.mean += (value - e.mean) * -math.Expm1((e.at-now)/span)
+	e.at = now
+}
+
 // mostIdle requests are kept for use again: as many as one sidecar hardly has open.
 const mostIdle = 256
 
