Module: the property tests check that no send to a cold server goes without budget

Need: first sends, re-routes, keys and their copies, placements, picks where all rest and servers back from the dead each come to a cold server by another way.

Change: checkBudget at every send of TestRandomEventsKeepTheRules, TestRandomPlacementsKeepTheRules and both TestIndexedPickIsThePlainOne. The code was right already. Planted, each run alone: mayTake not asked for repeats; not for picks by key; not where all rest; not where only one server is left (copies). Each failed at least two of these tests. go test ./balance: ok.

--- a/balance/plain_test.go
+++ b/balance/plain_test.go
@@ -218,6 +218,7 @@
 	for _, a := range acts {
 		switch a.Kind {
 		case Send:
+			w.both[0].checkBudget(w.t, a)
 			w.sends++
 			a.Attempt = w.tries[a.Request]
 			w.tries[a.Request]++
--- a/balance/property_test.go
+++ b/balance/property_test.go
@@ -189,6 +189,7 @@
 	case len(o.tries) >= w.cfg.MaxAttempts:
 		w.t.Fatalf("request %d was sent too often", a.Request)
 	}
+	w.b.checkBudget(w.t, a)
 	to := *w.servers[a.Server]
 	for _, p := range o.tries {
 		if p.live && !w.cfg.Parallel {
@@ -205,6 +206,13 @@
 	o.tries = append(o.tries, openAttempt{server: to, sent: w.now, live: true})
 }
 
+// checkBudget: whatever a send is for, one to a cold server spends its budget and never goes without.
+func (b *Balancer) checkBudget(t *testing.T, a Action) {
+	if s := b.byID[a.Server]; a.Kind == Send && b.cold(s) && s.tokens < 0 {
+		t.Fatalf("at %v request %d was sent to cold server %d, whose budget is spent", b.now, a.Request, a.Server)
+	}
+}
+
 func (w *world) final(a Action) {
 	o, c := w.open[a.Request], w.cfg.Classes[w.open[a.Request].class]
 	if o.answered || w.now > o.deadline+w.cfg.AnswerSlack {
