Module: a token of a cold server outlives the wait for the sidecar's next request

What is held so is still spent within the other half of the budget. A window of 0 ms needs no exception any more.

TestColdBudgetHoldsInRareMoments has a case of little traffic. Against the module before the mend 25 of its 70 cases fail, by up to 2.09 times the limit; all pass now. Planted, each run alone: no mean of the weights, 26 cases fail, by up to 2.16; tokens kept, the burst of 300 sidecars fails (1.31).

--- a/balance/cold_test.go
+++ b/balance/cold_test.go
@@ -171,6 +171,11 @@
 			f.restart(len(f.balancers) * 7 / 10)
 			f.replace(len(f.servers) * 6 / 10)
 		}},
+		"little traffic": {few, func(f *coldFleet) {
+			f.rate, f.capacity = f.rate/8, f.capacity/8
+			f.play(1, f.now+10000)
+			f.replace(len(f.servers))
+		}},
 		"all new": {few, func(f *coldFleet) {
 			f.restart(len(f.balancers))
 			f.replace(len(f.servers))
--- a/balance/size.go
+++ b/balance/size.go
@@ -49,19 +49,19 @@
 // together stay under it. Answers count, not requests, which clients repeat in overload, and few are assumed:
 // with thirty, small sidecars broke the rule. They go by the weights that gave them: when most servers turned
 // cold at once, these got too much. Without the multiple, warm servers jammed on the fleet bench.
-// What all gather while it is quiet would come in one burst. So a token is lost after half of the window, and
-// for a key's own server, which few requests go to, after the mean time between these: however many hold one,
-// a full fleet spends no more of those than the other half of the budget.
+// What all gather while it is quiet would come in one burst. So a token is lost after half of the window, or
+// the mean time between two requests here if that is longer; for a key's own server, which few of these go
+// to, after that between those. Of tokens so held a full fleet spends at most the other half of the budget.
 func (b *Balancer) coldBudget(s *server, keyed bool) bool {
 	part := math.Max(1, b.cfg.FallMultiple/2)
 	fill := b.pace(1) * part * s.weight / max(b.pool, b.pools.mean, s.weight)
-	good := fill * b.cfg.FallTime / 2
+	good := fill * math.Max(b.cfg.FallTime/2, 1/b.demand())
 	s.tokens += fill * (b.now - s.tokensAt)
 	if most := 1 + math.Max(good, math.Min(part*b.warmth(s), 1)); s.tokens > most {
 		s.tokens -= math.Ceil(s.tokens - most)
 	}
 	s.tokensAt = b.now
-	return s.tokens >= 1 && (keyed || good == 0 || s.tokens <= 1+good)
+	return s.tokens >= 1 && (keyed || s.tokens <= 1+good)
 }
 
 // chill begins a server's warm-up with a random budget, so that the first sends of all do not meet.
