Module: a test of an answer that crosses the cancel of its attempt

Need: what waits for a server out of reach is given up, and its answer may be on the way already.

Change: TestAnAnswerThatCrossesACancel, three classes, five results: served, there is one answer and nothing is sent; else the request goes to the other server. The code was right already. Planted, each run alone and seen to fail: a request that is done stepped on; Finished not heeded; the cancelled attempt held to be over at once; the request answered with the cancel. go test ./balance -run TestAnAnswerThat: ok.

--- a/balance/endings_test.go
+++ b/balance/endings_test.go
@@ -193,3 +193,29 @@
 		}
 	})
 }
+
+// An attempt is given up as its server is out of reach, and its answer is on the way: whoever wins, there is one.
+func TestAnAnswerThatCrossesACancel(t *testing.T) {
+	for _, class := range []int{safeClass, cellClass, allClass} {
+		for _, res := range []Result{OK, Failed, Reset, TimedOut, Cancelled} {
+			g := newRig(t, baseConfig(), fleet(2)...)
+			ids := map[ServerID][]RequestID{}
+			for range 4 {
+				id, acts := g.ask(class)
+				to, _ := sentTo(acts)
+				ids[to] = append(ids[to], id)
+			}
+			down, up := ids[1][0], ids[1][1]
+			if acts := g.answer(down, 0, ConnectFailed, 100); !slices.ContainsFunc(acts, func(a Action) bool { return a.Kind == Cancel && a.Request == up }) {
+				t.Fatalf("class %d: not given up: %+v", class, acts)
+			}
+			acts := g.answer(up, 0, res, 100)
+			if to, sent := sentTo(acts); sent != (res != OK) || sent && to != 2 || has(acts, Refuse) || has(acts, Fail) {
+				t.Errorf("class %d, result %d: sent again is %v, %+v", class, res, sent, acts)
+			}
+			if left := g.b.reqs[up] != nil; left != (res != OK) {
+				t.Errorf("class %d, result %d: remembered is %v", class, res, left)
+			}
+		}
+	}
+}
