Sidecar: a keyed repeat is never written whole after its window has run out

Cause: the module leaves time to connect when it repeats a keyed request (forgotten), but what comes after the connect was bounded by the deadline alone (exchange.go: SetDeadline(cut), writeRequest). A write that blocks on a server that does not read, a second dial behind a broken kept connection or a late goroutine let the last byte leave when servers may have forgotten the key: the effect could be done twice. Change: loop.keyEnd gives each attempt of a keyed class the end of the window of the earliest attempt that may have run. Dialing, the last check before the first byte and the write end there; the attempt is moot, as it never ran. The answer of an attempt written in time is waited for as before.

--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -61,24 +61,29 @@
 // send again by itself on a broken kept connection, which is one more attempt; here a request moves to
 // another connection only while its last byte has not been written.
 func (p *upstreams) exchange(ctx context.Context, up *upstream, cut time.Time, req *http.Request, a *attempt) reply {
+	by := cut
+	if a != nil {
+		by = a.writeBy()
+	}
 	for {
-		conn, kept, err := p.get(ctx, up, cut)
+		conn, kept, err := p.get(ctx, up, by)
 		if err != nil {
-			return reply{result: unsent(ctx, cut, err)}
+			return reply{result: unsent(ctx, by, err)}
 		}
 		stop := context.AfterFunc(ctx, func() { conn.SetDeadline(longAgo) })
-		conn.SetDeadline(cut)
+		conn.SetReadDeadline(cut)
+		conn.SetWriteDeadline(by)
 		if ctx.Err() != nil {
-			conn.SetDeadline(longAgo) // the line above may have undone the cancel
+			conn.SetDeadline(longAgo) // the lines above may have undone the cancel
 		}
 		all, err := writeRequest(conn, cut, req, a)
 		if err != nil && !all {
 			stop()
 			p.discard(conn)
-			if kept && ctx.Err() == nil && errors.As(err, new(*net.OpError)) && time.Now().Before(cut) {
+			if kept && ctx.Err() == nil && errors.As(err, new(*net.OpError)) && time.Now().Before(by) {
 				continue // the server closed it while idle; nothing of the request has run
 			}
-			return reply{result: unsent(ctx, cut, err)}
+			return reply{result: unsent(ctx, by, err)}
 		}
 		rested, written := conn.rested, time.Now()
 		r, keep := p.readReply(ctx, conn, cut)
@@ -94,8 +99,8 @@
 	}
 }
 
-// errMoot: between decision and first byte the request was concluded, its time ran out or its server was
-// retired. It is checked last of all, as dialing takes time in which the list changes.
+// errMoot: between decision and first byte the request was concluded, its time or that for a repeat ran out, or
+// its server was retired. It is checked last of all, as dialing takes time in which the list changes.
 var errMoot = errors.New("not to be sent any more")
 
 // writeRequest reports whether the last byte was written: only then may the request run.
@@ -103,7 +108,7 @@
 	if a != nil {
 		a.call.writing.Lock()
 		defer a.call.writing.Unlock()
-		if a.call.final.Load() {
+		if a.call.final.Load() || !time.Now().Before(a.writeBy()) {
 			return false, errMoot
 		}
 	}
@@ -133,9 +138,9 @@
 }
 
 // unsent is the result where the last byte was never written.
-func unsent(ctx context.Context, cut time.Time, err error) balance.Result {
+func unsent(ctx context.Context, by time.Time, err error) balance.Result {
 	switch {
-	case ctx.Err() != nil, err == errMoot, err == errNoSocket, !time.Now().Before(cut):
+	case ctx.Err() != nil, err == errMoot, err == errNoSocket, !time.Now().Before(by):
 		return balance.Moot // no fault of the server
 	default:
 		return balance.ConnectFailed
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -64,10 +64,20 @@
 	up     *upstream
 	from   float64 // when the module decided
 	cut    time.Time
+	keyEnd time.Time   // from here on servers may have forgotten the key of an earlier attempt; zero: no matter
 	sent   atomic.Bool // its last byte is written
 	ctx    context.Context
 	cancel context.CancelFunc
-	ended  bool // its outcome has come; the loop's alone
+	ended  bool // its outcome has come; the loop's alone, as is clean
+	clean  bool // it surely never ran
+}
+
+// writeBy is when the last byte has to be written at the latest.
+func (a *attempt) writeBy() time.Time {
+	if !a.keyEnd.IsZero() && a.keyEnd.Before(a.cut) {
+		return a.keyEnd
+	}
+	return a.cut
 }
 
 // What the loop is handed.
@@ -240,7 +250,7 @@
 // takeOutcome passes on the one outcome of an attempt. The first that is served is the client's answer.
 func (l *loop) takeOutcome(now float64, a *attempt, r reply) {
 	a.cancel()
-	a.ended = true
+	a.ended, a.clean = true, r.result.NeverRan()
 	l.placed.ended(now, a, r.result)
 	c := a.call
 	c.live--
@@ -391,13 +401,31 @@
 		up = &upstream{id: act.Server}
 		up.retired.Store(true)
 	}
-	a := &attempt{call: c, number: len(c.attempts), up: up, from: now, cut: cut}
+	a := &attempt{call: c, number: len(c.attempts), up: up, from: now, cut: cut, keyEnd: l.keyEnd(c)}
 	a.ctx, a.cancel = context.WithCancel(l.ctx)
 	c.attempts = append(c.attempts, a)
 	c.live++
 	l.workers.Go(func() { l.post(outcome{a, l.ups.send(a)}) })
 }
 
+// keyEnd is when the window ends in which servers drop a repeat of a call: counted from the earliest attempt that may
+// have run. The module leaves time to connect, but a write may block, or move to a second connection.
+func (l *loop) keyEnd(c *call) (end time.Time) {
+	class := &l.cfg.balance.Classes[c.ev.Class]
+	if class.Effect != balance.Keyed {
+		return end
+	}
+	for _, a := range c.attempts {
+		// A window may be longer than a time.Duration: beyond the deadline it is no bound.
+		if known := a.from + class.Window; !a.clean && known < l.clock.ms(c.deadline) {
+			if t := l.clock.time(known); end.IsZero() || t.Before(end) {
+				end = t
+			}
+		}
+	}
+	return end
+}
+
 func (l *loop) probe(now float64, id balance.ServerID) {
 	up := l.servers[id]
 	if up == nil {
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -388,6 +388,7 @@
 		"server retired":   func(p *upstreams, a *attempt) { p.retire(a.up) },
 		"request answered": func(_ *upstreams, a *attempt) { a.call.finish() },
 		"time is over":     func(_ *upstreams, a *attempt) { a.cut = time.Now() },
+		"key forgotten":    func(_ *upstreams, a *attempt) { a.keyEnd = time.Now() },
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newBackend(t, "a", ok)
