Sidecar: a server is not blamed when this process or machine has no descriptor left

Cause: upstreams.get told only its own bound as errNoSocket. A socket refused with EMFILE or ENFILE came back as an error of the dial, unsent took it for ConnectFailed, and the module counted a server out of reach that nobody had asked; with all servers in turn the whole list rests. Change: get maps both to errNoSocket: the attempt is moot, as it is at the own bound. Nothing else changes. Measured: TestNoSocketLeft/process and /machine fail without the mend (result 4, ConnectFailed, want it moot) and pass with it.

--- a/internal/sidecar/server_endings_test.go
+++ b/internal/sidecar/server_endings_test.go
@@ -9,8 +9,10 @@
 	"net"
 	"net/http"
 	"net/url"
+	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -667,6 +669,66 @@
 	}
 }
 
+// Nothing is known of servers when this machine has no socket left: they are not blamed, the request is turned away
+// unsent, and the server serves again once there is room.
+func TestNoSocketLeft(t *testing.T) {
+	for name, none := range map[string]func(p *upstreams, full bool){
+		"own bound": func(p *upstreams, full bool) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			if p.most = 10; full {
+				p.most = p.open
+			}
+		},
+		"process": func(p *upstreams, full bool) { p.dialer.Control = failing(full, syscall.EMFILE) },
+		"machine": func(p *upstreams, full bool) { p.dialer.Control = failing(full, syscall.ENFILE) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			release := make(chan struct{})
+			b := newBackend(t, "a", func(c net.Conn, r *http.Request, body string) bool {
+				<-release
+				return ok(c, r, body)
+			})
+			serve := sync.OnceFunc(func() { close(release) })
+			t.Cleanup(serve)
+			s := step(t, newConf("127.0.0.1:1", b.target))
+			first := s.ask("charge")
+			until(t, "the first request at the server", func() bool { return b.requests.Load() == 1 })
+			none(s.ups, true)
+			second := s.ask("charge")
+			o := s.ended()
+			if o.attempt.call != second || o.reply.result != balance.Moot {
+				t.Errorf("%+v, want the second moot", o.reply)
+			}
+			s.take(s.now(), o)
+			serve()
+			s.take(s.now(), s.ended())
+			if a := s.answered(first); a.status != 200 {
+				t.Errorf("%+v", a)
+			}
+			none(s.ups, false)
+			s.ups.closeIdle(s.servers[first.attempts[0].up.id])
+			third := s.ask("charge")
+			s.take(s.now(), s.ended())
+			if a := s.answered(third); a.status != 200 {
+				t.Errorf("%+v", a)
+			}
+			s.fire(s.now() + s.cfg.balance.Classes[second.ev.Class].Aim) // no other server has come up for it
+			if a := s.answered(second); a.status != statusRefused {
+				t.Errorf("%+v", a)
+			}
+			s.over(second)
+		})
+	}
+}
+
+func failing(now bool, err error) func(string, string, syscall.RawConn) error {
+	if !now {
+		return nil
+	}
+	return func(string, string, syscall.RawConn) error { return os.NewSyscallError("socket", err) }
+}
+
 // A second answer behind the first, before or after its connection was put to rest, is never the next request's.
 func TestSecondAnswer(t *testing.T) {
 	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d"
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -10,6 +10,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"milldeck/balance"
@@ -117,6 +118,9 @@
 	c, err := dialer.DialContext(ctx, "tcp", up.endpoint)
 	if err != nil {
 		p.release()
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			err = errNoSocket // no descriptor is free: that says nothing of the server
+		}
 		return nil, false, err
 	}
 	left := &io.LimitedReader{R: c}
