--- a/internal/sidecar/server_endings_test.go
+++ b/internal/sidecar/server_endings_test.go
@@ -768,3 +768,31 @@
 		})
 	}
 }
+
+// A second answer that comes only when the next request is out: that one is on another connection, as the first rests.
+func TestSecondAnswerBehindTheNextRequest(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d"
+	var first net.Conn
+	requests := 0
+	b := newBackend(t, "a", func(c net.Conn, _ *http.Request, _ string) bool {
+		if first == nil {
+			first = c
+		} else {
+			fmt.Fprintf(first, answer, 0)
+		}
+		_, err := fmt.Fprintf(c, answer, requests)
+		requests++
+		return err == nil
+	})
+	s := step(t, newConf("127.0.0.1:1", b.target), func(p *upstreams) { p.restWait = time.Hour })
+	for i := range 2 {
+		c := s.ask("charge")
+		s.take(s.now(), s.ended())
+		if a := s.answered(c); a.status != 200 || string(a.body) != strconv.Itoa(i) {
+			t.Errorf("request %d got %+v", i, a)
+		}
+	}
+	if n := b.conns.Load(); n != 2 {
+		t.Errorf("%d connections, want one for each request", n)
+	}
+}
