Sidecar: the test of a second answer counts its requests before it answers

Cause: the counter was raised after the write that lets the test go on, beside the handler of the next connection. Measured: go test -race -count=1 -run TestSecondAnswerBehind ./internal/sidecar passes.

--- a/internal/sidecar/server_endings_test.go
+++ b/internal/sidecar/server_endings_test.go
@@ -780,8 +780,8 @@
 		} else {
 			fmt.Fprintf(first, answer, 0)
 		}
-		_, err := fmt.Fprintf(c, answer, requests)
 		requests++
+		_, err := fmt.Fprintf(c, answer, requests-1)
 		return err == nil
 	})
 	s := step(t, newConf("127.0.0.1:1", b.target), func(p *upstreams) { p.restWait = time.Hour })
