Sidecar: tests of a reset in the middle of a write and of one long after

Need: both instants were tested in parts only (a write that ends short, without a server; a reset at once). Change: TestResetInTheMiddleOfAWrite has a server read one byte and reset: the request never ran there and comes whole to another. TestResetLongAfter resets past the aim, for each effect. The code was right. Planted and taken out again: a write that took some bytes counted as whole (result 5, reset, and no further attempt); a reset taken as never ran (the keyed and the unsafe class fail).

--- a/internal/sidecar/server_endings_test.go
+++ b/internal/sidecar/server_endings_test.go
@@ -796,3 +796,80 @@
 		t.Errorf("%d connections, want one for each request", n)
 	}
 }
+
+// A reset long after the request has begun, past its aim: it may have run, so what it may still be depends on its effect.
+func TestResetLongAfter(t *testing.T) {
+	for class, test := range map[string]struct {
+		status  int
+		further bool
+	}{
+		"lookup":  {statusRefused, false}, // past its aim it is worth no further attempt
+		"reserve": {200, true},            // within its window, in the cell
+		"charge":  {statusFailed, false},
+	} {
+		t.Run(class, func(t *testing.T) {
+			begun := make(chan net.Conn, 1)
+			var attempts atomic.Int64
+			serve := func(c net.Conn, r *http.Request, body string) bool {
+				if attempts.Add(1) > 1 {
+					return ok(c, r, body)
+				}
+				begun <- c
+				io.Copy(io.Discard, c)
+				return false
+			}
+			a, b := newBackend(t, "a", serve), newBackend(t, "b", serve)
+			s := step(t, newConf("127.0.0.1:1", a.target, b.target))
+			c := s.ask(class)
+			conn := receive(t, "the request", begun)
+			late := s.now() + s.cfg.balance.Classes[c.ev.Class].Aim + 1
+			s.fire(late)
+			reset(conn)
+			conn.Close()
+			o := s.ended()
+			if o.reply.result != balance.Reset {
+				t.Errorf("%+v", o.reply)
+			}
+			s.take(late, o)
+			if test.further {
+				s.take(late, s.ended())
+			}
+			if got := s.answered(c); got.status != test.status {
+				t.Errorf("%+v, want %d", got, test.status)
+			}
+			s.over(c)
+		})
+	}
+}
+
+// A server that goes before it has read all of a request surely never ran it: also an unsafe one goes elsewhere, and
+// comes whole there, once.
+func TestResetInTheMiddleOfAWrite(t *testing.T) {
+	ln, conns := unread(t)
+	good := newBackend(t, "b", func(c net.Conn, r *http.Request, body string) bool {
+		return len(body) == maxBody && ok(c, r, body)
+	})
+	s := step(t, newConf("127.0.0.1:1", ready("a", ln.Addr().String())), func(p *upstreams) {
+		p.dialer.Control = smallBuffers(syscall.SO_SNDBUF)
+	})
+	c := s.newCall("charge")
+	c.out.body = make([]byte, maxBody)
+	s.take(s.now(), arrival{c})
+	conn := receive(t, "the connection", conns)
+	if _, err := io.ReadFull(conn, make([]byte, 1)); err != nil { // some of it has come
+		t.Fatal(err)
+	}
+	reset(conn)
+	conn.Close()
+	o := s.ended()
+	if o.reply.result != balance.ConnectFailed || o.attempt.sent.Load() {
+		t.Errorf("%+v, sent %v", o.reply, o.attempt.sent.Load())
+	}
+	s.takeNews(s.now(), news{kind: balance.ListDelta, list: list{Rev: 2, Targets: []target{good.target}}})
+	s.take(s.now(), o)
+	s.take(s.now(), s.ended())
+	if a := s.answered(c); a.status != 200 || good.requests.Load() != 1 {
+		t.Errorf("%+v, %d requests", a, good.requests.Load())
+	}
+	s.over(c)
+}
