--- a/balance/hints.go
+++ b/balance/hints.go
@@ -9,11 +9,7 @@
 // others have found already. What a message says is a hint and never a fact: it puts the next trial of
 // a server off that this sidecar has found bad itself and has no better news of, for a short time and
 // for few servers. So what is choked becomes idle at last, though each of hundreds tries it seldom.
-//
-// Two more were measured in the lab and taken out. Hints that had servers rest with which this sidecar
-// had met no trouble took servers out that were late by load alone. Hints that a zone is lost, in place
-// of own failures, had all sidecars move to the other zones at once; that gained 0.002 at low load and
-// lost 0.01 at high.
+// What else was measured and taken out stands in docs/lab.md.
 
 const (
 	tellSpend  = 5e-4 // part of the result that what is told for each request may cost: it has to save more
--- a/balance/list.go
+++ b/balance/list.go
@@ -5,9 +5,8 @@
 // This file decides what a change of the list means, and when it is asked for.
 
 // askPause is the ms of pause before a list call for each sidecar that may call too; it doubles each time.
-// What discovery has counts as told 6 s after it can be reached (PROTOCOL, Figures): askSoon ms of pause
-// leave room for a silent call and the answer. But where calls wait in turn and fail, most of many that come
-// again so soon would never pass.
+// What discovery has counts as told 6 s after it can be reached (PROTOCOL): askSoon ms leave room for a
+// silent call and the answer. But where calls wait in turn, many that come so soon would never pass.
 const askPause, askSoon = 50, 3000
 
 func (b *Balancer) onList(ev ServerList) {
@@ -56,8 +55,7 @@
 
 // askLater calls discovery after a jittered pause, from least of it to all, longer after each failure and
 // within a limit where there is one. The pauses leave it time for the calls of all sidecars: what they ask at
-// once, after a mass restart or a break of its own, waits in turn until most of it is given up. Soon is for
-// where nothing waits in turn.
+// once, after a mass restart or a break of its own, waits in turn until most is given up; soon: none does.
 func (b *Balancer) askLater(least, most float64, soon bool) {
 	all := askPause * float64(max(b.cfg.Peers, 1))
 	pause := all * float64(int(1)<<min(b.asks, 4))
--- a/internal/sidecar/server_endings_test.go
+++ b/internal/sidecar/server_endings_test.go
@@ -464,11 +464,11 @@
 	}
 }
 
-// held is a dialer's hook that holds a connection back before it comes up.
-type held struct{ reached, release chan struct{} }
+// heldDial is a dialer's hook that holds a connection back before it comes up.
+type heldDial struct{ reached, release chan struct{} }
 
-func holdDials(p *upstreams) held {
-	h := held{make(chan struct{}, 8), make(chan struct{})}
+func holdDials(p *upstreams) heldDial {
+	h := heldDial{make(chan struct{}, 8), make(chan struct{})}
 	p.dialer.Control = func(string, string, syscall.RawConn) error {
 		h.reached <- struct{}{}
 		<-h.release
@@ -501,7 +501,7 @@
 		for name, gone := range goings(b) {
 			t.Run(fmt.Sprintf("%s, connection kept %v", name, kept), func(t *testing.T) {
 				other := newBackend(t, "b", ok)
-				var dials held
+				var dials heldDial
 				s := step(t, newConf("127.0.0.1:1", b.target), func(p *upstreams) {
 					if !kept {
 						dials = holdDials(p)
@@ -567,7 +567,7 @@
 		for _, dialling := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%s, while dialling %v", name, dialling), func(t *testing.T) {
 				b := newBackend(t, "a", ok)
-				var dials held
+				var dials heldDial
 				s := step(t, newConf("127.0.0.1:1", b.target), func(p *upstreams) { dials = holdDials(p) })
 				c := s.newCall("charge")
 				if !dialling {
--- a/internal/sidecar/watch_endings_test.go
+++ b/internal/sidecar/watch_endings_test.go
@@ -219,31 +219,21 @@
 	}
 }
 
-// heldListener takes no connection before it is opened.
-type heldListener struct {
-	net.Listener
-	open chan struct{}
-}
-
-func (h heldListener) Accept() (net.Conn, error) {
-	<-h.open
-	return h.Listener.Accept()
-}
-
 // A list that comes before the sidecar takes its first connection holds at once, whether the known one's rev is older or
 // newer, and a drain in it is obeyed by the first request.
 func TestListToldBeforeTheFirstRequest(t *testing.T) {
 	for _, known := range []int64{1, 5, 900} {
 		for _, all := range []bool{true, false} {
 			a, b := newBackend(t, "a", ok), newBackend(t, "b", ok)
-			r, open := newRegistry(t), make(chan struct{})
-			serve := sync.OnceFunc(func() { close(open) })
-			defer serve()
+			r := newRegistry(t)
 			c := newConf(r.addr())
 			c["known"] = list{Rev: known, All: true, Targets: []target{a.target}}
+			var serve func()
 			s := start(t, c, func(s *Sidecar) {
-				s.frontend.conns.Listener = heldListener{s.frontend.conns.Listener, open}
+				s.frontend.conns.mu.Lock() // no connection is taken before that
+				serve = sync.OnceFunc(s.frontend.conns.mu.Unlock)
 			})
+			defer serve()
 			answers := s.goDo(s.request("charge", 2*time.Second))
 			watch := receive(t, "the watch", r.calls)
 			if want := fmt.Sprintf("watch=1&after=%d", known); watch.query != want {
