Sidecar: the tests of endless answers write many lines at a time

Cause: one byte for each write took a loaded machine with -race more than the 300 ms of the request (TestWhatIsSentAfterAnEndedAttempt/endless_chunk failed in one run), so it timed out before the bound was reached. Change: a hundred repetitions for each write; requests have 1 s, those at silent servers 200 ms. Nothing is expected less.

--- a/internal/sidecar/server_endings_test.go
+++ b/internal/sidecar/server_endings_test.go
@@ -159,10 +159,11 @@
 	}
 }
 
-// endless writes a beginning and then the same again and again, until the sidecar ends the connection.
+// endless writes a beginning and then the same again and again, many at a time, until the sidecar ends the connection.
 func endless(text, again string) serveOne {
 	return func(c net.Conn, _ *http.Request, _ string) bool {
 		_, err := io.WriteString(c, text)
+		again := strings.Repeat(again, 100)
 		for err == nil {
 			_, err = io.WriteString(c, again)
 		}
@@ -183,8 +184,8 @@
 // Each way in which an attempt may end, for each effect: a further one goes out only where the rules let it, and not
 // before the connection of the one before is closed. Whatever comes is no answer unless it is whole.
 func TestWhatIsSentAfterAnEndedAttempt(t *testing.T) {
-	const timeout = 300 * time.Millisecond
 	type ends struct {
+		timeout  time.Duration
 		serve    serveOne
 		statuses [3]int // of a safe, a keyed and an unsafe request
 		attempts [3]int64
@@ -192,14 +193,18 @@
 	}
 	// May have run: the unsafe one gets no further attempt.
 	mayHaveRun := func(serve serveOne) ends {
-		return ends{serve, [3]int{200, 200, statusFailed}, [3]int64{2, 2, 1}, false}
+		return ends{time.Second, serve, [3]int{200, 200, statusFailed}, [3]int64{2, 2, 1}, false}
 	}
 	// No outcome comes before the deadline, and there is only one attempt out at a time.
 	silent := func(serve serveOne) ends {
-		return ends{serve, [3]int{statusRefused, statusTimedOut, statusTimedOut}, [3]int64{1, 1, 1}, false}
+		return ends{200 * time.Millisecond, serve, [3]int{statusRefused, statusTimedOut, statusTimedOut}, [3]int64{1, 1, 1}, false}
+	}
+	neverRan := func(serve serveOne) ends {
+		return ends{time.Second, serve, [3]int{200, 200, 200}, [3]int64{2, 2, 2}, true}
+	}
+	failed := func(serve serveOne) ends {
+		return ends{time.Second, serve, [3]int{200, 200, statusFailed}, [3]int64{2, 2, 1}, true}
 	}
-	neverRan := func(serve serveOne) ends { return ends{serve, [3]int{200, 200, 200}, [3]int64{2, 2, 2}, true} }
-	failed := func(serve serveOne) ends { return ends{serve, [3]int{200, 200, statusFailed}, [3]int64{2, 2, 1}, true} }
 	none := "X-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
 	for name, test := range map[string]ends{
 		"reset at once":               mayHaveRun(thenReset("")),
@@ -232,7 +237,7 @@
 		"503 without mark":            failed(respond("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", true)),
 		"503 with mark":               neverRan(respond("HTTP/1.1 503 No\r\n"+none, true)),
 		"504 with mark, then a close": neverRan(respond("HTTP/1.1 504 No\r\n"+none, false)),
-		"whole, then a reset":         {thenReset("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"), [3]int{200, 200, 200}, [3]int64{1, 1, 1}, true},
+		"whole, then a reset":         {time.Second, thenReset("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"), [3]int{200, 200, 200}, [3]int64{1, 1, 1}, true},
 	} {
 		for i, class := range []string{"lookup", "reserve", "charge"} {
 			t.Run(name+"/"+class, func(t *testing.T) {
@@ -251,7 +256,7 @@
 				a, b := newBackend(t, "a", serve), newBackend(t, "b", serve)
 				s := start(t, newConf(newRegistry(t).addr(), a.target, b.target))
 				memory := s.loop.ups.memory.left.Load()
-				got := s.do(s.request(class, timeout))
+				got := s.do(s.request(class, test.timeout))
 				if got.status != test.statuses[i] || got.status == 200 && got.body != "done" {
 					t.Errorf("answer %d %q, want %d", got.status, got.body, test.statuses[i])
 				}
