Module: the cold budget leaves small fleets what they had

Change: the weights of late are bounded by those of the servers in use as if none were cold, taken ten times a second, and give up to 1.15 times (the budget has a margin of two); a token is lost only where half of the window gives under half a send, as only there a fleet holds too much together. coldBudget is the same for keys again.

--- a/balance/affinity.go
+++ b/balance/affinity.go
@@ -68,6 +68,6 @@
 // narrow: of the servers of a key only the first few in this sidecar's own order are used.
 func (b *Balancer) narrow() bool { return b.choice()/keyFleet > keyServers && b.seldom() }
 
-func (b *Balancer) free(s *server) bool { return b.mayTake(s, true) && !b.over(s) }
+func (b *Balancer) free(s *server) bool { return b.mayTake(s) && !b.over(s) }
 
 func byPlace(s, t *server) int { return cmp.Compare(s.place, t.place) }
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -50,7 +50,7 @@
 	var best *server
 	bestOver := false
 	for _, s := range from {
-		if !b.mayTake(s, keyed) {
+		if !b.mayTake(s) {
 			continue
 		}
 		over := b.over(s)
@@ -68,7 +68,7 @@
 	return best
 }
 
-func (b *Balancer) mayTake(s *server, keyed bool) bool { return !b.cold(s) || b.coldBudget(s, keyed) }
+func (b *Balancer) mayTake(s *server) bool { return !b.cold(s) || b.coldBudget(s) }
 
 // over is bounded load: a server that holds more than its share is slow, hung or filled by others, whatever
 // its errors say. It is passed over and keeps its running value for later.
--- a/balance/plain_test.go
+++ b/balance/plain_test.go
@@ -66,7 +66,7 @@
 	var best *server
 	bestOver := false
 	for _, s := range from {
-		if !b.mayTake(s, keyed) {
+		if !b.mayTake(s) {
 			continue
 		}
 		over := b.over(s)
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -260,14 +260,14 @@
 	g.ask(safeClass) // sets the weights
 	s := g.b.servers[0]
 	s.tokens, s.tokensAt = 0, g.now-2000
-	if g.b.coldBudget(s, false); s.tokens > 0.2 { // with ten assumed: 1
+	if g.b.coldBudget(s); s.tokens > 0.2 { // with ten assumed: 1
 		t.Fatalf("%.2f sends in two seconds", s.tokens)
 	}
 	for range 400 { // of two hundred answers a second it may have its part
 		g.b.answers.add(g.now, paceAims*g.b.longestAim)
 	}
 	s.tokens, s.tokensAt = 0, g.now-2000
-	if g.b.coldBudget(s, false); s.tokens < 0.5 {
+	if g.b.coldBudget(s); s.tokens < 0.5 {
 		t.Fatalf("%.2f sends in two seconds for a busy sidecar", s.tokens)
 	}
 }
--- a/balance/size.go
+++ b/balance/size.go
@@ -11,6 +11,7 @@
 	learnRate = 0.01 // step of a server's size for each answer; its kind and zone move with half of it
 	maxSize   = 2.5  // bound of each learned logarithm of size
 	utilPull  = 2    // ... for being less busy than the others, beside that for being quicker
+	latePool  = 1.15 // the budget of a cold server is at most so much more than the weights of late give
 	eager     = 24   // times faster that sizes are learned at first: restarted sidecars know none
 )
 
@@ -47,21 +48,22 @@
 // coldBudget is a hard limit of sends to a cold server, re-routes included: half of the allowed multiple of
 // what warm servers of its size answer of this sidecar's requests, lowered by its warmth, so that all of them
 // together stay under it. Answers count, not requests, which clients repeat in overload, and few are assumed:
-// with thirty, small sidecars broke the rule. They go by the weights that gave them: when most servers turned
-// cold at once, these got too much. Without the multiple, warm servers jammed on the fleet bench.
-// What all gather while it is quiet would come in one burst. So a token is lost after half of the window, or
-// the mean time between two requests here if that is longer; for a key's own server, which few of these go
-// to, after that between those. Of tokens so held a full fleet spends at most the other half of the budget.
-func (b *Balancer) coldBudget(s *server, keyed bool) bool {
-	part := math.Max(1, b.cfg.FallMultiple/2)
-	fill := b.pace(1) * part * s.weight / max(b.pool, b.pools.mean, s.weight)
-	good := fill * math.Max(b.cfg.FallTime/2, 1/b.demand())
-	s.tokens += fill * (b.now - s.tokensAt)
-	if most := 1 + math.Max(good, math.Min(part*b.warmth(s), 1)); s.tokens > most {
-		s.tokens -= math.Ceil(s.tokens - most)
+// with thirty, small sidecars broke the rule. Without the multiple, warm servers jammed on the fleet bench.
+// Where many turn cold at once the weights of now fall sooner than the answers; those of late bound them.
+// A token that a sidecar holds for long is lost: what all gathered while it was quiet came in one burst.
+func (b *Balancer) coldBudget(s *server) bool {
+	pool := max(b.pool, math.Min(b.pools.mean, b.warmPool())/latePool, s.weight)
+	fill := b.pace(1) * s.weight / pool * math.Max(1, b.cfg.FallMultiple/2)
+	held := fill * b.cfg.FallTime / 2
+	few, most := held < 0.5, math.Max(1, held/2) // few: a fleet of such holds too much together
+	if few {
+		most = 1 + held
 	}
-	s.tokensAt = b.now
-	return s.tokens >= 1 && (keyed || s.tokens <= 1+good)
+	s.tokens = math.Min(s.tokens+fill*(b.now-s.tokensAt), most)
+	if s.tokensAt = b.now; few && s.tokens == most {
+		s.tokens--
+	}
+	return s.tokens >= 1
 }
 
 // chill begins a server's warm-up with a random budget, so that the first sends of all do not meet.
--- a/balance/state.go
+++ b/balance/state.go
@@ -34,6 +34,8 @@
 	byID    map[ServerID]*server
 	pool    float64         // sum of weights at the last first pick
 	pools   ewma            // ... and at the last ones, over the time of pace
+	warm    float64         // the sum as if none were cold; see warmPool
+	warmAt  float64         // ... when it was taken
 	kinds   map[int]float64 // learned logarithm of size by kind
 	zones   map[int]float64 // ... and by zone
 	learned float64         // times learn was called
@@ -199,6 +201,29 @@
 	e.at = now
 }
 
+// warmEvery is the ms for which warmPool holds: it goes over all servers, while any of them is cold, and requests come
+// hundreds of times a second.
+const warmEvery = 100
+
+// warmPool is the sum of the weights of the servers in use as if none of them were cold.
+func (b *Balancer) warmPool() float64 {
+	if b.now < b.warmAt+warmEvery {
+		return b.warm
+	}
+	b.warm, b.warmAt = 0, b.now
+	for _, s := range b.servers {
+		if s.State != Ready || b.resting(s) {
+			continue
+		}
+		w := b.weight(s) / b.warmth(s)
+		if b.near(s) {
+			w *= b.nearby()
+		}
+		b.warm += w
+	}
+	return b.warm
+}
+
 // mostIdle requests are kept for use again: as many as one sidecar hardly has open.
 const mostIdle = 256
 
