Endings: two faults of the program's tests under -race

go test ./cmd/silverreel -race -count=5 failed: TestSignalsDuringTheStart read the process from a second goroutine while it was started (the race detector's report), and TestOutageOfDiscovery measured 3.88 and 3.98 s to the exit after SIGTERM, 3.7 s allowed, in two rounds of the crowded case. A program under the race detector sleeps 1 s at its exit by default; the program under test is told not to (GORACE). The bound stays as it was.

--- a/cmd/silverreel/endings_test.go
+++ b/cmd/silverreel/endings_test.go
@@ -159,8 +159,11 @@
 			}
 			told <- err
 		}
+		lines := begin(t, cmd)
+		late := time.AfterFunc(patience, func() { cmd.Process.Kill() })
+		defer late.Stop()
 		go tell(config, func() error { return cmd.Process.Signal(sig) })
-		cmd, lines, _ := launch(t, cmd)
+		logged(t, lines, "listen=")
 		if err := <-told; err != nil {
 			t.Fatal(err)
 		}
--- a/cmd/silverreel/main_test.go
+++ b/cmd/silverreel/main_test.go
@@ -41,7 +41,9 @@
 		t.Fatal(err)
 	}
 	cmd := exec.CommandContext(t.Context(), os.Args[0])
-	cmd.Env = append(os.Environ(), asProgram+"=1", "NODE_CONFIG="+path)
+	cmd.Env = append(os.Environ(), asProgram+"=1",
+		"GORACE=atexit_sleep_ms=0", // the race detector's second at the exit is not the program's
+		"NODE_CONFIG="+path)
 	log := &bytes.Buffer{}
 	cmd.Stderr = log
 	return cmd, log
@@ -81,6 +83,16 @@
 
 // launch is started for a program that the test prepared.
 func launch(t *testing.T, cmd *exec.Cmd) (_ *exec.Cmd, lines *bufio.Scanner, addr string) {
+	t.Helper()
+	lines = begin(t, cmd)
+	late := time.AfterFunc(patience, func() { cmd.Process.Kill() })
+	defer late.Stop()
+	_, addr = logged(t, lines, "listen=")
+	return cmd, lines, addr
+}
+
+// begin starts a program and returns its log.
+func begin(t *testing.T, cmd *exec.Cmd) *bufio.Scanner {
 	t.Helper()
 	cmd.Stderr = nil
 	log, err := cmd.StderrPipe()
@@ -90,11 +102,7 @@
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	late := time.AfterFunc(patience, func() { cmd.Process.Kill() })
-	defer late.Stop()
-	lines = bufio.NewScanner(log)
-	_, addr = logged(t, lines, "listen=")
-	return cmd, lines, addr
+	return bufio.NewScanner(log)
 }
 
 // logged reads on to a line that holds text, and returns it and what follows the text.
