Module: a probe that was never sent is no news of its server

Cause: onProbe in events.go rested and darkened a server for every probe without an answer, also where the probe was moot (no descriptor free, the process it was meant for had ended) or cancelled: a server that nobody had asked was blamed. Change: these two results only end the probe; requests that wait for probes are taken up as before. Measured: TestProbeThatWasNeverSent fails before (results 6 and 7: dark, resting), passes now.

--- a/balance/endings_test.go
+++ b/balance/endings_test.go
@@ -219,3 +219,19 @@
 		}
 	}
 }
+
+// A probe that was never sent, as no descriptor was free or the server's process had ended, is no news of the server.
+func TestProbeThatWasNeverSent(t *testing.T) {
+	for _, result := range []Result{Moot, Cancelled, ConnectFailed} {
+		g := newRig(t, probeConfig(), fleet(2)...)
+		g.ask(safeClass)
+		s := g.b.byID[1]
+		if !s.probing {
+			t.Fatal("no probe is out")
+		}
+		g.do(ProbeResult{Server: 1, Result: result})
+		if blamed := s.dark || g.b.resting(s); blamed != (result == ConnectFailed) || s.probing {
+			t.Errorf("result %d: dark %v, resting %v, out %v", result, s.dark, g.b.resting(s), s.probing)
+		}
+	}
+}
--- a/balance/events.go
+++ b/balance/events.go
@@ -100,11 +100,15 @@
 	}
 	s.probing = false
 	b.mark(s)
-	if ev.Result != OK { // out of reach, though the process may run
+	switch ev.Result {
+	case Moot, Cancelled: // it was not sent, or nobody waited for it: no news of the server
+	case OK:
+		if b.note(s, ev.Report); s.dark {
+			s.dark, s.rests, s.restUntil = false, 0, 0
+		}
+	default: // out of reach, though the process may run
 		b.rest(s)
 		s.dark = true
-	} else if b.note(s, ev.Report); s.dark {
-		s.dark, s.rests, s.restUntil = false, 0, 0
 	}
 	b.stepHeld()
 }
