--- a/balance/hints.go
+++ b/balance/hints.go
@@ -9,7 +9,6 @@
 // others have found already. What a message says is a hint and never a fact: it puts the next trial of
 // a server off that this sidecar has found bad itself and has no better news of, for a short time and
 // for few servers. So what is choked becomes idle at last, though each of hundreds tries it seldom.
-// What else was measured and taken out stands in docs/lab.md.
 
 const (
 	tellSpend  = 5e-4 // part of the result that what is told for each request may cost: it has to save more
--- a/balance/size.go
+++ b/balance/size.go
@@ -47,10 +47,9 @@
 
 // coldBudget is a hard limit of sends to a cold server, re-routes included: half of the allowed multiple of
 // what warm servers of its size answer of this sidecar's requests, lowered by its warmth, so that all of them
-// together stay under it. Answers count, not requests, which clients repeat in overload, and few are assumed:
-// with thirty, small sidecars broke the rule. Without the multiple, warm servers jammed on the fleet bench.
-// Where many turn cold at once the weights of now fall sooner than the answers; those of late bound them.
-// A token that a sidecar holds for long is lost: what all gathered while it was quiet came in one burst.
+// together stay under it. Answers count, not requests, which clients repeat, and few are assumed: with
+// thirty, it broke the rule. Where many turn cold the weights of now fall sooner than the answers; those
+// of late bound them. A token held for long is lost: what all gathered in a quiet time came in one burst.
 func (b *Balancer) coldBudget(s *server) bool {
 	pool := max(b.pool, math.Min(b.pools.mean, b.warmPool())/latePool, s.weight)
 	fill := b.pace(1) * s.weight / pool * math.Max(1, b.cfg.FallMultiple/2)
