--- a/balance/size.go
+++ b/balance/size.go
@@ -54,7 +54,7 @@
 	pool := max(b.pool, math.Min(b.pools.mean, b.warmPool())/latePool, s.weight)
 	fill := b.pace(1) * s.weight / pool * math.Max(1, b.cfg.FallMultiple/2)
 	held := fill * b.cfg.FallTime / 2
-	few, most := held < 0.5, math.Max(1, held/2) // few: a fleet of such holds too much together
+	few, most := b.cfg.WarmKeys && held < 0.5, math.Max(1, held/2) // few: a fleet holds too much together
 	if few {
 		most = 1 + held
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -205,8 +205,12 @@
 // hundreds of times a second.
 const warmEvery = 100
 
-// warmPool is the sum of the weights of the servers in use as if none of them were cold.
+// warmPool is the sum of the weights of the servers in use as if none of them were cold; 0 where keys do not stay warm:
+// there a rotation grows with the traffic, and what it held of late does not compare with what it holds now.
 func (b *Balancer) warmPool() float64 {
+	if !b.cfg.WarmKeys {
+		return 0
+	}
 	if b.now < b.warmAt+warmEvery {
 		return b.warm
 	}
