Sidecar: one guard before each first byte, invariants counted at run time, a trace

Change: sendGuard passes every first byte to a server; the balancer checks each send a second time, by other code than decides; a connection that is closed over a request that was read is noticed. Violations are counted by invariant and logged, events by reason; NODE_LOG_LEVEL=debug has the history of each request. A response is flushed before its handler returns, so that its error is known before the connection is closed. All tests with a sidecar end with a check that no invariant was violated.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -31,6 +31,8 @@
 	gossip    gossipState
 	placement *activePlacement // nil: none was received
 
+	violations Violations
+
 	selectServer func(r *request, retry bool) *server // pick, unless a test compares it with another implementation
 }
 
--- a/balance/property_test.go
+++ b/balance/property_test.go
@@ -156,6 +156,9 @@
 		checker.t.Fatalf("%#v: %v", ev, err)
 	}
 	checker.apply(actions)
+	if violations := checker.balancer.Violations(); violations != (Violations{}) {
+		checker.t.Fatalf("%#v: violations found by the balancer itself: %+v", ev, violations)
+	}
 }
 
 func (checker *ruleChecker) apply(actions []Action) {
--- a/balance/request.go
+++ b/balance/request.go
@@ -73,6 +73,7 @@
 // sendAttempt sends a request to a server; where endsAtObjective is set the attempt is given up at the request's latency
 // objective.
 func (b *Balancer) sendAttempt(r *request, s *server, endsAtObjective bool) {
+	b.checkSend(r, s)
 	s.slowStart.tokens--
 	b.addInFlight(s, 1)
 	s.report.sentSince++
--- a/cmd/sidecar/main.go
+++ b/cmd/sidecar/main.go
@@ -23,6 +23,23 @@
 	}
 }
 
+// logLevelVariable names the environment variable for the least level that is logged: debug, info, warn or error.
+const logLevelVariable = "NODE_LOG_LEVEL"
+
+// setLogLevel sets the level that the environment names, info where it names none.
+func setLogLevel() error {
+	text := os.Getenv(logLevelVariable)
+	if text == "" {
+		return nil
+	}
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(text)); err != nil {
+		return fmt.Errorf("%s: %w", logLevelVariable, err)
+	}
+	slog.SetLogLoggerLevel(level)
+	return nil
+}
+
 func run() error {
 	// Signals are caught from the beginning to the end of the process: SIGHUP never ends it, and a second SIGTERM does not
 	// interrupt a drain.
@@ -35,6 +52,9 @@
 		<-stopSignals
 		cancel()
 	}()
+	if err := setLogLevel(); err != nil {
+		return err
+	}
 	config, err := sidecar.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
--- a/cmd/sidecar/main_test.go
+++ b/cmd/sidecar/main_test.go
@@ -53,6 +53,16 @@
 	return command, log
 }
 
+func TestInvalidLogLevelFailsStart(t *testing.T) {
+	command, log := newProgram(t, `{}`)
+	command.Env = append(command.Env, "NODE_LOG_LEVEL=loud")
+	err := command.Run()
+	var exit *exec.ExitError
+	if !errors.As(err, &exit) || exit.ExitCode() != 1 || !strings.Contains(log.String(), "NODE_LOG_LEVEL") {
+		t.Errorf("%v, log %q", err, log)
+	}
+}
+
 func TestInvalidConfigurationFailsStart(t *testing.T) {
 	command, log := newProgram(t, `{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1","settings":{}}`)
 	err := command.Run()
--- a/internal/sidecar/actions.go
+++ b/internal/sidecar/actions.go
@@ -58,6 +58,12 @@
 	started.ctx, started.cancel = context.WithCancel(l.ctx)
 	call.attempts = append(call.attempts, started)
 	call.inFlight++
+	if started.number == 0 {
+		l.pool.guard.monitor.count(attemptFirst)
+	} else {
+		l.pool.guard.monitor.count(attemptRetry)
+	}
+	traceDecision(started)
 	l.workers.Go(func() { l.post(attemptCompleted{started, l.pool.sendAttempt(started)}) })
 }
 
@@ -128,11 +134,11 @@
 	l.cancelUnsentAttempts(call)
 	switch {
 	case action.Kind == balance.Reject:
-		call.response <- response{status: statusRejected, retryAfterMS: action.RetryAfter}
+		call.response <- response{status: statusRejected, retryAfterMS: action.RetryAfter, reason: answeredRejected}
 	case nowMS >= l.clock.unixMS(call.deadline):
-		call.response <- response{status: statusTimedOut}
+		call.response <- response{status: statusTimedOut, reason: answeredTimedOut}
 	default:
-		call.response <- response{status: statusFailed}
+		call.response <- response{status: statusFailed, reason: answeredFailed}
 	}
 	l.calls.releaseIfDone(call)
 }
--- a/internal/sidecar/attempt_outcome_test.go
+++ b/internal/sidecar/attempt_outcome_test.go
@@ -173,7 +173,7 @@
 		},
 		"overdue first": func(loop *steppedLoop, call *call, event attemptCompleted) {
 			front := &frontend{post: func(posted loopEvent) { loop.handleEvent(loop.nowMS(), posted) }}
-			if resp, claimed := front.concludeCall(call); !claimed || resp.status != statusTimedOut {
+			if resp, claimed := front.concludeCall(call, answeredOverdue); !claimed || resp.status != statusTimedOut {
 				loop.t.Errorf("%+v, ended %v", resp, claimed)
 			}
 			loop.handleEvent(loop.nowMS(), event)
@@ -181,7 +181,7 @@
 		"answer before overdue": func(loop *steppedLoop, call *call, event attemptCompleted) {
 			loop.handleEvent(loop.nowMS(), event)
 			front := &frontend{post: func(loopEvent) { loop.t.Error("the event loop is notified of a second end") }}
-			resp, claimed := front.concludeCall(call)
+			resp, claimed := front.concludeCall(call, answeredOverdue)
 			if claimed || resp.status != 200 {
 				loop.t.Errorf("%+v, ended %v", resp, claimed)
 			}
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -13,14 +13,20 @@
 // the client the one response.
 type call struct {
 	request  balance.Request // as the balancer gets it
+	clientID string          // the X-Request-ID, for logs
+	class    *balance.Class  // set on arrival at the event loop
+	client   *clientConn     // nil outside of the HTTP server
 	outbound *outboundRequest
 	deadline time.Time     // when the client stops waiting
 	response chan response // buffered: the event loop hands over its response without blocking
 
-	answered atomic.Bool
+	answered  atomic.Bool
+	responded atomic.Bool // the frontend writes the response, or has given it up
 	// writeMu is held from the final check before the first byte of an attempt until its last byte is written. The
 	// frontend acquires it before it responds, so that nothing is written to a server after the response.
 	writeMu sync.Mutex
+	// begun are the attempts that have begun, in order. writeMu guards it.
+	begun []*attempt
 
 	// The event loop alone uses the fields below.
 	attempts []*attempt
@@ -30,6 +36,14 @@
 // markAnswered reports whether the caller is the one to respond.
 func (c *call) markAnswered() bool { return c.answered.CompareAndSwap(false, true) }
 
+// clientGoneSince returns when the client was seen to have gone.
+func (c *call) clientGoneSince() (since time.Time, gone bool) {
+	if c.client == nil {
+		return since, false
+	}
+	return c.client.goneSince()
+}
+
 // response is what the client gets.
 type response struct {
 	status        int
@@ -37,6 +51,7 @@
 	contentType   string
 	body          []byte
 	reservedBytes int // of the body memory, until the response is written or dropped
+	reason        countedEvent
 }
 
 // attempt is one send of a call to one server.
@@ -54,8 +69,14 @@
 	cancel       context.CancelFunc
 	fullyWritten atomic.Bool // the last byte is written: the server may execute it
 
+	// The write lock of the call guards the fields below; see sendGuard.
+	begunAt         time.Time // the final check before the first byte
+	ended           bool      // its connection is closed, or has carried the complete response
+	mayHaveExecuted bool      // valid once it has ended
+
 	// The event loop alone uses the fields below.
 	completed     bool // its outcome is known
+	result        balance.Result
 	neverExecuted bool // the outcome proves that the server did not execute it
 }
 
--- a/internal/sidecar/client_conn.go
+++ b/internal/sidecar/client_conn.go
@@ -47,10 +47,16 @@
 	// readerWaiting: the server has processed all it has read and waits for more. While it is false, what was read last
 	// may be a request.
 	readerWaiting  bool
-	requestStarted bool   // a part of the next request is read
-	pipelined      []byte // read behind the active request
-	readErr        error  // set when the client has closed its side: nothing more arrives
-	readClosed     bool   // set when this side closes: nothing more is read
+	requestStarted bool      // a part of the next request is read
+	pipelined      []byte    // read behind the active request
+	readErr        error     // set when the client has closed its side: nothing more arrives
+	goneAt         time.Time // when readErr was set
+	unanswered     bool      // a request is read completely and its response is not written
+	writing        bool      // the response is being written
+	writeErr       error     // of the latest response
+	closeChecked   bool      // checkClose has run
+	malformed      bool      // what follows on the connection cannot be told from the request before
+	readClosed     bool      // set when this side closes: nothing more is read
 }
 
 // Read implements net.Conn for net/http, which reads on one goroutine at a time.
@@ -106,7 +112,7 @@
 		return 0, true, nil
 	}
 	c.readerWaiting = false
-	c.readErr = err
+	c.setReadErr(err)
 	if c.phase != phaseActive && !c.requestStarted {
 		c.requestStarted = true
 		c.phaseSince = time.Now()
@@ -122,9 +128,9 @@
 		if errors.Is(err, syscall.EAGAIN) {
 			return 0, true, nil
 		}
-		c.readErr = err
+		c.setReadErr(err)
 		if err == nil && len(c.pipelined)+n > maxPipelinedBytes {
-			c.readErr = errPipelineTooLong
+			c.setReadErr(errPipelineTooLong)
 			c.pipelined = nil
 		}
 		if c.readErr != nil {
@@ -171,6 +177,83 @@
 	return c.TCPConn.CloseWrite()
 }
 
+// setReadErr records that nothing more arrives, and since when; nil changes nothing. The caller holds the lock.
+func (c *clientConn) setReadErr(err error) {
+	if err == nil || c.readErr != nil {
+		return
+	}
+	c.readErr = err
+	c.goneAt = time.Now()
+}
+
+// goneSince returns when the client was seen to have closed its side.
+func (c *clientConn) goneSince() (since time.Time, gone bool) {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	return c.goneAt, c.readErr != nil
+}
+
+// setUnanswered records that the connection has a request that is read completely and not answered.
+func (c *clientConn) setUnanswered() {
+	if c == nil {
+		return
+	}
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.unanswered = true
+}
+
+// setWriting records that the response is being written; it blocks only while the client does not read.
+func (c *clientConn) setWriting() {
+	if c == nil {
+		return
+	}
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.unanswered, c.writing = false, true
+}
+
+// setAnswered records that the response is written, or the error with which that failed: the client has gone or does not
+// read.
+func (c *clientConn) setAnswered(err error) {
+	if c == nil {
+		return
+	}
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.unanswered, c.writing = false, false
+	c.writeErr = err
+}
+
+// setMalformed records that what follows on the connection is no request of its own.
+func (c *clientConn) setMalformed() {
+	if c == nil {
+		return
+	}
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.malformed = true
+}
+
+// checkClose counts a close over a request that was read and not answered, while its client waits. The caller holds the
+// lock.
+func (c *clientConn) checkClose(reason countedEvent) {
+	c.listener.monitor.count(reason)
+	traceClientClosed(c, reason)
+	if c.readErr != nil || c.writeErr != nil || c.writing || c.closeChecked {
+		return
+	}
+	c.closeChecked = true
+	if err := peekRead(c.rawConn); err != nil && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR) {
+		return // the client has gone, and nobody has noticed yet
+	}
+	droppedBehind := len(c.pipelined) > 0 && !c.malformed
+	if c.unanswered || droppedBehind {
+		c.listener.monitor.violated(invariantEveryRequestAnswered, "client", c.RemoteAddr().String(), "reason", reason.String(),
+			"unanswered", c.unanswered, "read_ahead_bytes", len(c.pipelined))
+	}
+}
+
 // closeRead marks the connection as closing; nothing more is read from it. The caller holds the lock.
 func (c *clientConn) closeRead(now time.Time) {
 	c.readClosed = true
--- a/internal/sidecar/client_listener.go
+++ b/internal/sidecar/client_listener.go
@@ -28,6 +28,7 @@
 	closeOnce     sync.Once
 
 	lingerTimeout time.Duration
+	monitor       *monitor
 
 	mu            sync.Mutex
 	drainDeadline time.Time // no connection lingers longer; zero: no drain yet
@@ -95,6 +96,7 @@
 	if admitted {
 		conn.phaseSince = time.Now()
 		l.conns[conn] = struct{}{}
+		l.monitor.count(clientConnAccepted)
 	}
 	l.mu.Unlock()
 	if evicted != nil {
@@ -113,7 +115,7 @@
 			return nil
 		}
 		if candidate.phase == phaseClosing || openAndEmpty(candidate.TCPConn) {
-			l.remove(candidate)
+			l.remove(candidate, clientConnEvictedForNew)
 			return candidate
 		}
 		candidate.readerWaiting = false // bytes have arrived, and its reader is about to get them
@@ -154,12 +156,13 @@
 	if persistent <= l.maxPersistent || longestIdle == nil || !openAndEmpty(longestIdle.TCPConn) {
 		return nil
 	}
-	l.remove(longestIdle)
+	l.remove(longestIdle, clientConnEvictedIdle)
 	return longestIdle
 }
 
 // remove takes a connection out of the table; nothing more is read from it. The caller holds the lock.
-func (l *clientListener) remove(conn *clientConn) {
+func (l *clientListener) remove(conn *clientConn, reason countedEvent) {
+	conn.checkClose(reason)
 	delete(l.conns, conn)
 	conn.readClosed = true
 }
@@ -174,6 +177,7 @@
 	if !l.drainDeadline.IsZero() && l.drainDeadline.Before(until) {
 		until = l.drainDeadline
 	}
+	conn.checkClose(clientConnClosed)
 	conn.closeRead(now)
 	l.signalCapacity()
 	clientMayRead := conn.readErr == nil || errors.Is(conn.readErr, errPipelineTooLong)
@@ -191,6 +195,7 @@
 		if conn.phase == phaseClosing || firstRequestExpected || !conn.evictable(now) || !openAndEmpty(conn.TCPConn) {
 			continue
 		}
+		l.monitor.count(clientConnShutByDrain)
 		conn.closeRead(now)
 		_ = conn.TCPConn.CloseWrite() // fails only if the connection is broken, which its reader sees
 		_ = conn.SetReadDeadline(now) // wakes its reader
--- a/internal/sidecar/conn_pool.go
+++ b/internal/sidecar/conn_pool.go
@@ -43,6 +43,7 @@
 	address     string
 	bootMS      float64 // as discovery lists it
 	zone        string
+	cell        int
 	startedAtMS float64 // as the balancer knows it
 
 	retired atomic.Bool // draining, removed or restarted: nothing new is sent there
@@ -86,6 +87,7 @@
 	loadReportFields []string
 	healthCheckPath  string
 	bodyMemory       *byteBudget
+	guard            sendGuard
 
 	mu        sync.Mutex
 	withIdle  map[*upstreamHost]struct{} // those with idle connections
@@ -101,6 +103,7 @@
 		loadReportFields: config.loadReportFields,
 		healthCheckPath:  healthCheckPath,
 		bodyMemory:       bodyMemory,
+		guard:            sendGuard{&monitor{}},
 		withIdle:         map[*upstreamHost]struct{}{},
 		maxConns:         maxConns,
 	}
@@ -125,6 +128,7 @@
 		if p.usable(conn) {
 			return conn, true, nil
 		}
+		p.guard.monitor.count(upstreamConnUnusable)
 		p.discard(conn)
 	}
 	conn, err = p.dial(ctx, upstream, deadline)
@@ -147,11 +151,13 @@
 	netConn, err := dialer.DialContext(ctx, "tcp", upstream.address)
 	if err != nil {
 		p.releaseConn()
+		p.guard.monitor.count(upstreamConnDialFailed)
 		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
 			err = errNoSocketAvailable // this machine's fault, not the server's
 		}
 		return nil, err
 	}
+	p.guard.monitor.count(upstreamConnDialed)
 	limit := &io.LimitedReader{R: netConn}
 	return &upstreamConn{Conn: netConn, reader: bufio.NewReader(limit), limit: limit, upstream: upstream}, nil
 }
@@ -225,14 +231,15 @@
 	if oldest == nil {
 		return false
 	}
-	p.closeOldestIdle(oldest, 1)
+	p.closeOldestIdle(oldest, 1, upstreamConnEvicted)
 	return true
 }
 
 // closeOldestIdle closes the longest idle connections to a server. The caller holds the lock.
-func (p *connPool) closeOldestIdle(upstream *upstreamHost, count int) {
+func (p *connPool) closeOldestIdle(upstream *upstreamHost, count int, reason countedEvent) {
 	for _, conn := range upstream.idleConns[:count] {
 		conn.Close()
+		p.guard.monitor.count(reason)
 	}
 	p.openConns -= count
 	upstream.idleConns = append(upstream.idleConns[:0], upstream.idleConns[count:]...)
@@ -250,6 +257,7 @@
 	if conn.upstream.retired.Load() { // checked under the lock, as retire closes the idle connections under it
 		conn.Close()
 		p.openConns--
+		p.guard.monitor.count(upstreamConnWithdrawn)
 		return
 	}
 	conn.upstream.idleConns = append(conn.upstream.idleConns, conn)
@@ -272,7 +280,7 @@
 func (p *connPool) closeIdle(upstream *upstreamHost) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.closeOldestIdle(upstream, len(upstream.idleConns))
+	p.closeOldestIdle(upstream, len(upstream.idleConns), upstreamConnWithdrawn)
 }
 
 // reap closes connections that have been idle for too long, before their servers do.
@@ -284,7 +292,7 @@
 		for expired < len(upstream.idleConns) && now.Sub(upstream.idleConns[expired].idleSince) >= p.maxIdleTime {
 			expired++
 		}
-		p.closeOldestIdle(upstream, expired)
+		p.closeOldestIdle(upstream, expired, upstreamConnExpired)
 	}
 }
 
@@ -293,6 +301,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for upstream := range p.withIdle {
-		p.closeOldestIdle(upstream, len(upstream.idleConns))
+		p.closeOldestIdle(upstream, len(upstream.idleConns), upstreamConnWithdrawn)
 	}
 }
--- a/internal/sidecar/endpoint_updates.go
+++ b/internal/sidecar/endpoint_updates.go
@@ -60,8 +60,10 @@
 			address:     listed.Address,
 			bootMS:      listed.BootMS,
 			zone:        listed.Zone,
+			cell:        listed.PodGroup,
 			startedAtMS: server.StartedAt,
 		}
+		traceUpstream("server ready", l.readyUpstreams[server.ID])
 	}
 	return server
 }
@@ -79,6 +81,7 @@
 // no upstream.
 func (l *eventLoop) retireUpstream(upstream *upstreamHost) {
 	if upstream != nil {
+		traceUpstream("server withdrawn", upstream)
 		delete(l.readyUpstreams, upstream.id)
 		l.pool.retire(upstream)
 	}
--- a/internal/sidecar/event_loop.go
+++ b/internal/sidecar/event_loop.go
@@ -151,6 +151,7 @@
 
 func (l *eventLoop) handleRequestArrived(nowMS float64, arrived *call) {
 	l.calls.add(arrived)
+	arrived.class = &l.config.settings.Classes[arrived.request.Class]
 	request := arrived.request
 	request.Timeout = l.clock.unixMS(arrived.deadline) - nowMS
 	l.placement.active.recordRequest(nowMS, &request)
@@ -161,6 +162,11 @@
 func (l *eventLoop) handleAttemptCompleted(nowMS float64, attempt *attempt, exchange exchangeResult) {
 	attempt.cancel()
 	attempt.completed = true
+	attempt.result = exchange.outcome
+	traceEnded(attempt, &exchange)
+	if exchange.unsent != nil {
+		l.pool.guard.monitor.count(attemptNotSent)
+	}
 	attempt.neverExecuted = exchange.outcome.NeverExecuted()
 	l.placement.active.recordOutcome(nowMS, attempt, exchange.outcome)
 	call := attempt.call
@@ -194,7 +200,11 @@
 
 // dispatch hands an event to the balancer and executes the actions that it returns.
 func (l *eventLoop) dispatch(nowMS float64, event balance.Event) {
+	before := l.balancer.Violations()
 	actions, err := l.balancer.Handle(nowMS, event)
+	if found := l.balancer.Violations(); found != before {
+		l.pool.guard.monitor.reportBalancer(before, found)
+	}
 	if err != nil {
 		loopLog.Error("balancer rejected an event", "error", err)
 		return
--- a/internal/sidecar/frontend.go
+++ b/internal/sidecar/frontend.go
@@ -38,6 +38,7 @@
 	listener   *clientListener
 	requestIDs *recentRequestIDs
 	bodyMemory *byteBudget
+	monitor    *monitor
 
 	inFlight     atomic.Int64
 	maxInFlight  int64
@@ -98,8 +99,9 @@
 	// request that is not read completely ends its connection.
 	size := int(r.ContentLength)
 	if !f.bodyMemory.reserve(size) {
+		f.monitor.count(rejectedBodyMemory)
 		w.Header().Set("Connection", "close")
-		writeResponse(w, response{status: statusRejected})
+		writeResponse(w, r, response{status: statusRejected})
 		return
 	}
 	defer f.bodyMemory.release(size)
@@ -107,9 +109,11 @@
 		f.rejectMalformed(w, r, err)
 		return
 	}
+	clientConnOf(r).setUnanswered()
 	defer f.inFlight.Add(-1)
 	if f.inFlight.Add(1) > f.maxInFlight {
-		writeResponse(w, response{status: statusRejected})
+		f.monitor.count(rejectedInFlight)
+		writeResponse(w, r, response{status: statusRejected})
 		return
 	}
 	idHash, ok := f.requestIDs.claim(r.Header.Get(requestIDHeader))
@@ -129,9 +133,13 @@
 	if errors.As(err, &malformed) {
 		status = malformed.status
 	}
+	f.monitor.count(rejectedMalformed)
+	clientConnOf(r).setMalformed()
 	w.Header().Set("Connection", "close")
 	http.Error(w, err.Error(), status)
-	if http.NewResponseController(w).Flush() == nil {
+	flushErr := http.NewResponseController(w).Flush()
+	clientConnOf(r).setAnswered(flushErr)
+	if flushErr == nil {
 		f.listener.setPhase(clientConnOf(r), phaseClosing)
 	}
 }
@@ -149,16 +157,21 @@
 func (f *frontend) serveCall(w http.ResponseWriter, r *http.Request, call *call) {
 	// The client may have disconnected while net/http had this request buffered.
 	if err := clientConnOf(r).disconnectErr(); err != nil {
-		writeResponse(w, disconnectedResponse(w, err))
+		f.monitor.count(abandonedByClient)
+		writeResponse(w, r, disconnectedResponse(w, err))
 		return
 	}
+	traceRequest(call, time.Until(call.deadline))
 	resp := f.awaitResponse(w, r, call)
 	waitForWriter(&call.writeMu)
+	call.responded.Store(true)
+	f.monitor.count(resp.reason)
+	traceAnswered(call, resp.status, resp.reason)
 	f.extendWriteDeadline(w)
 	if f.closeAfterResponse.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	writeResponse(w, resp)
+	writeResponse(w, r, resp)
 	f.bodyMemory.release(resp.reservedBytes)
 }
 
@@ -173,17 +186,19 @@
 	case resp := <-call.response:
 		return resp
 	case <-r.Context().Done():
-		resp, ended := f.concludeCall(call)
+		resp, ended := f.concludeCall(call, abandonedByClient)
 		if ended {
+			f.monitor.count(abandonedByClient)
+			traceAnswered(call, 0, abandonedByClient)
 			return disconnectedResponse(w, clientConnOf(r).disconnectErr())
 		}
 		return resp
 	case <-f.drainExpired:
-		resp, _ := f.concludeCall(call)
+		resp, _ := f.concludeCall(call, answeredAtDrainEnd)
 		return resp
 	case <-overdue.C:
 		// The balancer owes each request an answer by now, so this is a bug.
-		resp, ended := f.concludeCall(call)
+		resp, ended := f.concludeCall(call, answeredOverdue)
 		if ended {
 			frontendLog.Error("balancer did not answer in time", "request", r.Header.Get(requestIDHeader))
 		}
@@ -210,12 +225,12 @@
 
 // concludeCall ends a call without a response of the event loop; ended reports that it did. If the event loop has answered
 // at the same time, its response is returned instead.
-func (f *frontend) concludeCall(call *call) (resp response, ended bool) {
+func (f *frontend) concludeCall(call *call, reason countedEvent) (resp response, ended bool) {
 	if !call.markAnswered() {
 		return <-call.response, false
 	}
 	f.post(clientDisconnected{call})
-	return response{status: statusTimedOut}, true
+	return response{status: statusTimedOut, reason: reason}, true
 }
 
 // extendWriteDeadline bounds the time for writing a response from now on, so that a client that does not read cannot
@@ -226,7 +241,8 @@
 	}
 }
 
-func writeResponse(w http.ResponseWriter, resp response) {
+// writeResponse writes a response to the socket. If that fails the client has gone or does not read.
+func writeResponse(w http.ResponseWriter, r *http.Request, resp response) {
 	header := w.Header()
 	header["Content-Type"] = nil // net/http would guess one
 	if resp.contentType != "" {
@@ -236,6 +252,13 @@
 		header.Set("Retry-After", strconv.FormatFloat(resp.retryAfterMS/msPerSecond, 'f', 3, 64))
 	}
 	header.Set("Content-Length", strconv.Itoa(len(resp.body)))
+	conn := clientConnOf(r)
+	conn.setWriting()
 	w.WriteHeader(resp.status)
-	_, _ = w.Write(resp.body) // fails only if the client has gone or does not read
+	_, err := w.Write(resp.body)
+	if err == nil {
+		// Now, not when the handler has returned: an error must be known before the connection is closed for it.
+		err = http.NewResponseController(w).Flush()
+	}
+	conn.setAnswered(err)
 }
--- a/internal/sidecar/frontend_test.go
+++ b/internal/sidecar/frontend_test.go
@@ -164,7 +164,7 @@
 // Retry-After is in seconds.
 func TestRetryAfterIsInSeconds(t *testing.T) {
 	recorder := httptest.NewRecorder()
-	writeResponse(recorder, response{status: statusRejected, retryAfterMS: 1250})
+	writeResponse(recorder, httptest.NewRequest(http.MethodGet, apiPath, http.NoBody), response{status: statusRejected, retryAfterMS: 1250})
 	if got := recorder.Header().Get("Retry-After"); got != "1.250" {
 		t.Errorf("Retry-After: %q", got)
 	}
--- a/internal/sidecar/logging.go
+++ b/internal/sidecar/logging.go
@@ -10,5 +10,7 @@
 	frontendLog  = slog.With("component", "frontend")
 	discoveryLog = slog.With("component", "discovery")
 	placementLog = slog.With("component", "placement")
+	invariantLog = slog.With("component", "invariants")
+	traceLog     = slog.With("component", "trace")
 	gossipLog    = slog.With("component", "gossip")
 )
--- a/internal/sidecar/request_parsing.go
+++ b/internal/sidecar/request_parsing.go
@@ -118,7 +118,12 @@
 		return nil, 0, err
 	}
 	request.Key = requestKey(r)
-	return &call{request: request, response: make(chan response, 1)}, timeout, nil
+	return &call{
+		request:  request,
+		clientID: r.Header.Get(requestIDHeader),
+		client:   clientConnOf(r),
+		response: make(chan response, 1),
+	}, timeout, nil
 }
 
 // checkMethod checks that the method and the idempotency key fit the class. A request of a class with idempotency keys
--- /dev/null
+++ b/internal/sidecar/send_guard_test.go
@@ -0,0 +1,68 @@
+package sidecar
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"milldeck/balance"
+)
+
+// What must never be decided is neither sent nor unnoticed: the guard stands behind the balancer.
+func TestGuardForbidsWhatBreaksAnInvariant(t *testing.T) {
+	for name, test := range map[string]struct {
+		idempotency balance.Idempotency
+		scope       balance.DeduplicationScope
+		earlier     func(earlier *attempt)
+		want        error
+		rule        invariant
+	}{
+		"another attempt is out": {balance.Idempotent, balance.ScopeAll, func(earlier *attempt) {
+			earlier.ended = false
+			earlier.fullyWritten.Store(true)
+		}, errForbidden, invariantOneAttempt},
+		"a non-idempotent request may have been executed": {balance.NonIdempotent, balance.ScopeAll, func(*attempt) {}, errForbidden, invariantNoRepeat},
+		"the key is not known in another zone":            {balance.IdempotentWithKey, balance.ScopeZone, func(earlier *attempt) { earlier.upstream.zone = "b" }, errForbidden, invariantNoRepeat},
+		"the key is not known in another cell":            {balance.IdempotentWithKey, balance.ScopeCell, func(earlier *attempt) { earlier.upstream.cell = 2 }, errForbidden, invariantNoRepeat},
+		"the key is known in the zone":                    {balance.IdempotentWithKey, balance.ScopeZone, func(earlier *attempt) { earlier.upstream.cell = 2 }, nil, 0},
+		"the key is known to all":                         {balance.IdempotentWithKey, balance.ScopeAll, func(earlier *attempt) { earlier.upstream.zone = "b" }, nil, 0},
+		"an idempotent request":                           {balance.Idempotent, balance.ScopeAll, func(earlier *attempt) { earlier.upstream.zone = "b" }, nil, 0},
+		"it was surely not executed":                      {balance.NonIdempotent, balance.ScopeAll, func(earlier *attempt) { earlier.mayHaveExecuted = false }, nil, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			guard := sendGuard{&monitor{}}
+			request := &call{deadline: time.Now().Add(testTimeout), class: &balance.Class{Idempotency: test.idempotency, DeduplicationScope: test.scope}}
+			earlier := &attempt{call: request, upstream: &upstreamHost{zone: "a", cell: 1}, ended: true, mayHaveExecuted: true}
+			test.earlier(earlier)
+			request.begun = []*attempt{earlier}
+			next := &attempt{call: request, number: 1, upstream: &upstreamHost{zone: "a", cell: 1}, deadline: request.deadline}
+			err := guard.admit(next, time.Now())
+			if !errors.Is(err, test.want) || err != nil && !errors.Is(err, errObsolete) {
+				t.Errorf("admitted with %v, want %v", err, test.want)
+			}
+			violations := guard.monitor.violations[test.rule].Load()
+			if total := guard.monitor.totalViolations(); (violations == 1) != (test.want != nil) || total != violations && test.want != nil {
+				t.Errorf("%d violations of %v, %d in all", violations, test.rule, total)
+			}
+		})
+	}
+}
+
+// A request that is told too much time, or written after its answer, is counted once it is written.
+func TestGuardCountsWhatWasWrittenWrongly(t *testing.T) {
+	guard := sendGuard{&monitor{}}
+	request := &call{deadline: time.Now().Add(time.Second)}
+	late := &attempt{call: request, begunAt: time.Now()}
+	guard.written(late, time.Second, time.Now())
+	if got := guard.monitor.totalViolations(); got != 0 {
+		t.Fatalf("%d violations of an attempt that broke nothing", got)
+	}
+	guard.written(late, time.Second+2*timeoutSlack, time.Now())
+	request.responded.Store(true)
+	guard.written(late, 0, time.Now())
+	for _, rule := range []invariant{invariantTimeoutPassed, invariantNothingAfterAnswer} {
+		if got := guard.monitor.violations[rule].Load(); got != 1 {
+			t.Errorf("%d violations of %v, want 1", got, rule)
+		}
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -77,6 +77,8 @@
 	loop := newEventLoop(config, balancer, newConnPool(config, upstreamSockets, bodyMemory))
 	loop.discovery = newDiscoveryClient(config.DiscoveryAddress, loop.post, func(task func()) { loop.workers.Go(task) })
 	loop.peers = listenPeers(config.peers)
+	clients := newClientListener(listener, clientSockets, int(persistentConnFraction*float64(config.Sockets)))
+	clients.monitor = loop.pool.guard.monitor
 	return &Sidecar{
 		config:           config,
 		loop:             loop,
@@ -87,7 +89,8 @@
 		frontend: &frontend{
 			config:       config,
 			post:         loop.post,
-			listener:     newClientListener(listener, clientSockets, int(persistentConnFraction*float64(config.Sockets))),
+			listener:     clients,
+			monitor:      loop.pool.guard.monitor,
 			requestIDs:   newRecentRequestIDs(),
 			bodyMemory:   bodyMemory,
 			maxInFlight:  int64(maxInFlight),
@@ -167,6 +170,7 @@
 		s.loop.workers.Go(transport.runReader)
 	}
 	s.loop.workers.Go(func() { s.reapIdle(ctx) })
+	s.loop.workers.Go(func() { s.frontend.monitor.logPeriodically(ctx) })
 	return func() {
 		cancel()
 		<-done
@@ -205,6 +209,7 @@
 	if err := s.frontend.closeConnections(server, serveErr, deadline.Add(shutdownMargin/2)); err != nil {
 		return fmt.Errorf("drain: %w", err)
 	}
+	s.frontend.monitor.logCounters()
 	slog.Info("drained")
 	return nil
 }
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -85,10 +85,11 @@
 // testSidecar is a running sidecar and its client.
 type testSidecar struct {
 	*Sidecar
-	t         *testing.T
-	client    *http.Client
-	terminate context.CancelFunc
-	done      chan error
+	t                  *testing.T
+	client             *http.Client
+	terminate          context.CancelFunc
+	done               chan error
+	expectedViolations int64 // of invariants, until the test ends
 }
 
 // startSidecar runs a sidecar until the test ends; tweaks change it before. Unless a test says otherwise, connections
@@ -119,6 +120,9 @@
 			t.Errorf("the sidecar ended with %v", err)
 		}
 		sidecar.done <- nil
+		if violations := instance.frontend.monitor.totalViolations(); violations != sidecar.expectedViolations {
+			t.Errorf("%d violations of invariants, want %d", violations, sidecar.expectedViolations)
+		}
 		waitForGoroutines(t, goroutinesBefore)
 	})
 	return sidecar
--- a/internal/sidecar/stepped_loop_test.go
+++ b/internal/sidecar/stepped_loop_test.go
@@ -46,6 +46,9 @@
 		if loop.pool.openConns != 0 {
 			t.Errorf("%d connections are still counted", loop.pool.openConns)
 		}
+		if violations := loop.pool.guard.monitor.totalViolations(); violations != 0 {
+			t.Errorf("%d violations of invariants", violations)
+		}
 		if remaining := memory.remaining.Load(); remaining != loop.memory {
 			t.Errorf("%d bytes of the body memory are not released", loop.memory-remaining)
 		}
--- /dev/null
+++ b/internal/sidecar/trace.go
@@ -0,0 +1,73 @@
+package sidecar
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"milldeck/balance"
+)
+
+// The trace is the history of each request by its X-Request-ID, at the level debug: NODE_LOG_LEVEL=debug turns it on.
+
+// traceEnabled reports whether the trace is on; where it is off a request costs nothing for it.
+func traceEnabled() bool { return traceLog.Enabled(context.Background(), slog.LevelDebug) }
+
+func traceRequest(call *call, left time.Duration) {
+	if traceEnabled() {
+		traceLog.Debug("request received", "request", call.clientID, "class", call.request.Class, "left", left)
+	}
+}
+
+// traceDecision logs the decision for an attempt; a retry has the result of the attempt before as its reason.
+func traceDecision(decided *attempt) {
+	if !traceEnabled() {
+		return
+	}
+	reason := "first"
+	if decided.number > 0 {
+		reason = resultNames[decided.call.attempts[decided.number-1].result]
+	}
+	traceLog.Debug("attempt decided", "request", decided.call.clientID, "attempt", decided.number,
+		"server", decided.upstream.address, "after", reason)
+}
+
+func traceWritten(written *attempt, told time.Duration, reused bool) {
+	if traceEnabled() {
+		traceLog.Debug("attempt written", "request", written.call.clientID, "attempt", written.number,
+			"server", written.upstream.address, "told", told, "reused", reused)
+	}
+}
+
+func traceEnded(ended *attempt, exchange *exchangeResult) {
+	if !traceEnabled() {
+		return
+	}
+	traceLog.Debug("attempt ended", "request", ended.call.clientID, "attempt", ended.number,
+		"result", resultNames[exchange.outcome], "unsent", notSentReason(exchange.unsent))
+}
+
+func traceAnswered(call *call, status int, reason countedEvent) {
+	if traceEnabled() {
+		traceLog.Debug("request answered", "request", call.clientID, "status", status, "reason", reason.String())
+	}
+}
+
+func traceClientClosed(conn *clientConn, reason countedEvent) {
+	if traceEnabled() {
+		traceLog.Debug("client connection closed", "client", conn.RemoteAddr().String(), "reason", reason.String(),
+			"phase", conn.phase, "error", conn.readErr)
+	}
+}
+
+func traceUpstream(message string, upstream *upstreamHost) {
+	if traceEnabled() {
+		traceLog.Debug(message, "server", upstream.address, "boot_ms", upstream.bootMS)
+	}
+}
+
+// resultNames are the results of attempts as the trace has them.
+var resultNames = map[balance.Result]string{
+	balance.OK: "ok", balance.Failed: "failed", balance.Overloaded: "overloaded", balance.TimedOut: "timed_out",
+	balance.ConnectFailed: "connect_failed", balance.Reset: "reset", balance.Cancelled: "cancelled", balance.Obsolete: "obsolete",
+}
--- a/internal/sidecar/upstream_exchange.go
+++ b/internal/sidecar/upstream_exchange.go
@@ -40,6 +40,7 @@
 // exchangeResult is how an attempt or a health check ended.
 type exchangeResult struct {
 	outcome    balance.Result
+	unsent     error    // why the request was not completely written; nil: it was
 	response   response // if the outcome is balance.OK
 	loadReport []float32
 }
@@ -54,7 +55,9 @@
 		Header:        outbound.header.Clone(),
 		ContentLength: int64(len(outbound.body)),
 	}
-	return p.exchange(attempt.ctx, attempt.upstream, attempt.deadline, req, attempt)
+	result := p.exchange(attempt.ctx, attempt.upstream, attempt.deadline, req, attempt)
+	p.guard.ended(attempt, result.outcome)
+	return result
 }
 
 // checkHealth sends a health check. Its load report comes in a header or in the body.
@@ -84,10 +87,10 @@
 	for {
 		conn, reused, err := p.acquire(ctx, upstream, writeDeadline)
 		if err != nil {
-			return exchangeResult{outcome: unsentResult(ctx, writeDeadline, err)}
+			return exchangeResult{outcome: unsentResult(ctx, writeDeadline, err), unsent: err}
 		}
 		stopCancel := cancelWithContext(ctx, conn, deadline, writeDeadline)
-		complete, err := writeRequest(conn, deadline, req, attempt)
+		complete, err := writeRequest(p.guard, conn, deadline, req, attempt)
 		if err != nil && !complete {
 			stopCancel()
 			p.discard(conn)
@@ -95,7 +98,7 @@
 			if closedWhileIdle && ctx.Err() == nil && time.Now().Before(writeDeadline) {
 				continue
 			}
-			return exchangeResult{outcome: unsentResult(ctx, writeDeadline, err)}
+			return exchangeResult{outcome: unsentResult(ctx, writeDeadline, err), unsent: err}
 		}
 		idleTime := conn.idleTime
 		writtenAt := time.Now()
@@ -106,6 +109,7 @@
 		if stopCancel() && reusable {
 			p.returnIdle(conn)
 		} else {
+			p.guard.monitor.count(upstreamConnEnded)
 			p.discard(conn)
 		}
 		return result
@@ -127,12 +131,13 @@
 
 // writeRequest writes a request, and reports whether it is completely written: only then may a server execute it. The
 // final check whether it is still to be sent is made here, as the endpoint list may change while a connection is dialed.
-func writeRequest(conn *upstreamConn, deadline time.Time, req *http.Request, attempt *attempt) (complete bool, err error) {
+func writeRequest(guard sendGuard, conn *upstreamConn, deadline time.Time, req *http.Request, attempt *attempt) (complete bool, err error) {
 	if attempt != nil {
 		attempt.call.writeMu.Lock()
 		defer attempt.call.writeMu.Unlock()
-		if attempt.call.answered.Load() || !time.Now().Before(attempt.writeDeadline()) {
-			return false, errObsolete
+		attempt.begunAt = time.Now()
+		if err := guard.admit(attempt, attempt.begunAt); err != nil {
+			return false, err
 		}
 	}
 	remaining := time.Until(deadline)
@@ -147,6 +152,8 @@
 	complete = written == buffer.Len()
 	if complete && attempt != nil {
 		attempt.fullyWritten.Store(true)
+		guard.written(attempt, remaining, time.Now())
+		traceWritten(attempt, remaining, conn.idleTime > 0)
 	}
 	return complete, err
 }
--- a/internal/sidecar/upstream_exchange_test.go
+++ b/internal/sidecar/upstream_exchange_test.go
@@ -160,6 +160,7 @@
 	t.Cleanup(pool.closeAll)
 	host := &upstreamHost{id: 1, address: server.endpoint.Address}
 	started := &attempt{call: &call{outbound: &outboundRequest{}}, upstream: host, deadline: time.Now().Add(testTimeout)}
+	started.call.deadline = started.deadline
 	started.ctx, started.cancel = context.WithCancel(t.Context())
 	t.Cleanup(started.cancel)
 	conn, _, err := pool.acquire(started.ctx, host, started.deadline)
@@ -184,7 +185,7 @@
 			server := newBackend(t, "a", serveOK)
 			pool, attempt, conn, req := newExchange(t, server)
 			change(pool, attempt)
-			complete, err := writeRequest(conn, attempt.deadline, req, attempt)
+			complete, err := writeRequest(pool.guard, conn, attempt.deadline, req, attempt)
 			if complete || !errors.Is(err, errObsolete) || unsentResult(attempt.ctx, attempt.deadline, err) != balance.Obsolete {
 				t.Errorf("written %v, error %v", complete, err)
 			}
@@ -199,9 +200,9 @@
 // An incomplete write proves that the server did not execute the request.
 func TestShortWriteIsNeverExecuted(t *testing.T) {
 	server := newBackend(t, "a", serveOK)
-	_, attempt, conn, req := newExchange(t, server)
+	pool, attempt, conn, req := newExchange(t, server)
 	closeWrite(t, conn.Conn)
-	complete, err := writeRequest(conn, attempt.deadline, req, attempt)
+	complete, err := writeRequest(pool.guard, conn, attempt.deadline, req, attempt)
 	if got := unsentResult(attempt.ctx, attempt.deadline, err); complete || got != balance.ConnectFailed {
 		t.Errorf("written %v, %v, result %v", complete, err, got)
 	}
