--- a/cmd/sidecar/main_test.go
+++ b/cmd/sidecar/main_test.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"milldeck/internal/faultsoak/shim"
 )
 
 // The test binary runs as the program where the first variable is set. The second makes it send itself signals at its end.
@@ -22,6 +24,12 @@
 )
 
 func TestMain(m *testing.M) {
+	if os.Getenv(launchVariable) != "" {
+		if err := os.Unsetenv(launchVariable); err != nil {
+			panic(err)
+		}
+		panic(shim.Exec(os.Args[0], nil, os.Environ(), shim.NotifyDescriptor, shim.ReleaseDescriptor))
+	}
 	if os.Getenv(runAsProgram) != "" {
 		main()
 		if os.Getenv(lastSignals) != "" {
--- a/internal/faultsoak/shim/shim.go
+++ b/internal/faultsoak/shim/shim.go
@@ -60,8 +60,8 @@
 
 // Supervise takes over the notifications of a process that Exec has started: from is the end of the pipe to which Exec
 // writes the number of its descriptor, release the one from which it reads before it goes on. It returns when the process
-// is about to execute its program.
-func Supervise(pid int, from, release *os.File) (*Supervisor, error) {
+// is about to execute its program. Rules that are given hold from the program's first call on.
+func Supervise(pid int, from, release *os.File, rules ...Rule) (*Supervisor, error) {
 	var line [16]byte
 	n, err := from.Read(line[:])
 	if err != nil {
@@ -80,7 +80,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("shim: pidfd_getfd: %w", err)
 	}
-	supervisor := &Supervisor{pid: pid, listener: listener, injected: map[string]int{}}
+	supervisor := &Supervisor{pid: pid, listener: listener, rules: rules, injected: map[string]int{}}
 	go supervisor.run()
 	if _, err := release.Write([]byte{'\n'}); err != nil {
 		return nil, fmt.Errorf("shim: %w", err)
