Sidecar: passing errors of system calls end nothing; pipelined requests keep their time

Cause, first: net/http's Serve returns for every error of accept that Go does not call temporary (ENOBUFS, ENOMEM, EPROTO, EHOSTUNREACH and six more), which ended the process over all requests in flight; for EMFILE and ENFILE it has clients wait for up to a second. A peek that EINTR interrupts was taken for a client that has gone: its request was dropped. A socket at the start and the read of the file at SIGHUP were tried once; a dial that fails for ENOBUFS, EADDRNOTAVAIL or ENETUNREACH was blamed on the server. Excluded: limits on descriptors (24 are reserved, none was out), the shim itself (the same program serves when the rule is over). Cause, second: a request's time ran from when its turn came on the connection, not from its last byte, so a server was told time that its client no longer had; what had been read behind a request was dropped with it at the end of a drain, and beyond 8 KiB.

--- a/cmd/sidecar/main_test.go
+++ b/cmd/sidecar/main_test.go
@@ -139,16 +139,25 @@
 	return "", ""
 }
 
+// terminate ends the program in order. It must not have run out of descriptors.
 func terminate(t *testing.T, command *exec.Cmd, lines *bufio.Scanner) {
+	t.Helper()
+	stop(t, command, lines, func(line string) {
+		if strings.Contains(line, "too many open files") {
+			t.Error("it ran out of descriptors")
+		}
+	})
+}
+
+// stop ends the program in order and hands the rest of its log to a check.
+func stop(t *testing.T, command *exec.Cmd, lines *bufio.Scanner, check func(line string)) {
 	t.Helper()
 	if err := command.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
 	for lines.Scan() {
 		t.Log(lines.Text())
-		if strings.Contains(lines.Text(), "too many open files") {
-			t.Error("it ran out of descriptors")
-		}
+		check(lines.Text())
 	}
 	if err := command.Wait(); err != nil {
 		t.Errorf("ended with %v", err)
--- a/cmd/sidecar/system_call_test.go
+++ b/cmd/sidecar/system_call_test.go
@@ -21,8 +21,8 @@
 const launchVariable = "SIDECAR_TEST_UNDER_SHIM"
 
 // startUnderShim runs the program, whose system calls the test can fail, until its log names the address where it listens.
-// Rules that are in force from its first call on may be given.
-func startUnderShim(t *testing.T, rig *shimRig, rules ...shim.Rule) {
+// Rules that are in force from its first call on may be given. The returned function ends it in order.
+func startUnderShim(t *testing.T, rig *shimRig, rules ...shim.Rule) (end func()) {
 	t.Helper()
 	pipes, err := shim.NewPipes()
 	if err != nil {
@@ -40,8 +40,14 @@
 	watchdog := time.AfterFunc(testTimeout, func() { _ = command.Process.Kill() })
 	defer watchdog.Stop()
 	_, rig.address = awaitLogLine(t, rig.lines, "listen=")
-	t.Cleanup(func() { terminate(t, command, rig.lines) })
 	rig.pid = command.Process.Pid
+	return func() {
+		stop(t, command, rig.lines, func(line string) {
+			if strings.Contains(line, "invariant violated") {
+				t.Error(line)
+			}
+		})
+	}
 }
 
 // shimRig is a sidecar under the shim, with one server.
@@ -64,7 +70,7 @@
 		_, _ = io.WriteString(w, "done") // fails only if the sidecar has gone
 	})}
 	go func() { _ = server.Serve(listener) }() // ends with the test
-	t.Cleanup(func() { server.Close() })
+	t.Cleanup(func() { _ = server.Close() }) // the test is over
 	return &shimRig{config: fmt.Sprintf(`{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1",
 		"known":{"rev":1,"all":true,"targets":[{"uid":"a","endpoint":%q,"state":"Ready","capacity_hint":1}]},
 		"settings":{"classes":[{"name":"c","effect":"non_idempotent","on_time_ms":500,"hard_limit_ms":1500}],
@@ -114,7 +120,7 @@
 		t.Run("accept "+unix.ErrnoName(errno), func(t *testing.T) {
 			t.Parallel()
 			rig := newShimRig(t)
-			startUnderShim(t, rig)
+			defer startUnderShim(t, rig)()
 			open := rig.dial(t)
 			if got := rig.request(t, open); got != http.StatusOK {
 				t.Fatalf("before the fault: %d", got)
@@ -135,7 +141,7 @@
 	t.Run("recvfrom EINTR", func(t *testing.T) {
 		t.Parallel()
 		rig := newShimRig(t)
-		startUnderShim(t, rig)
+		defer startUnderShim(t, rig)()
 		conn := rig.dial(t)
 		rig.shim.Add(shim.Rule{Call: shim.RecvFrom, Errno: syscall.EINTR, Share: 0.5, Until: time.Now().Add(testTimeout)})
 		for i := range 20 {
@@ -147,7 +153,7 @@
 	t.Run("socket ENOBUFS at the start", func(t *testing.T) {
 		t.Parallel()
 		rig := newShimRig(t)
-		startUnderShim(t, rig, shim.Rule{Call: shim.Socket, Errno: syscall.ENOBUFS, Share: 1, Until: time.Now().Add(failsFor)})
+		defer startUnderShim(t, rig, shim.Rule{Call: shim.Socket, Errno: syscall.ENOBUFS, Share: 1, Until: time.Now().Add(failsFor)})()
 		if got := rig.request(t, rig.dial(t)); got != http.StatusOK {
 			t.Errorf("answer %d", got)
 		}
@@ -155,8 +161,8 @@
 	t.Run("openat ENFILE at a reload", func(t *testing.T) {
 		t.Parallel()
 		rig := newShimRig(t)
-		path := t.TempDir() + "/config.json"
-		startUnderShim(t, rig)
+		path := ""
+		defer startUnderShim(t, rig)()
 		for _, variable := range strings.Split(readEnviron(t, rig.pid), "\x00") {
 			if after, found := strings.CutPrefix(variable, "NODE_CONFIG="); found {
 				path = after
@@ -169,20 +175,17 @@
 		if err := syscall.Kill(rig.pid, syscall.SIGHUP); err != nil {
 			t.Fatal(err)
 		}
-		reloaded := make(chan struct{})
-		go func() {
-			for rig.lines.Scan() {
-				if strings.Contains(rig.lines.Text(), "discovery=127.0.0.1:3") {
-					close(reloaded)
-					return
-				}
+		watchdog := time.AfterFunc(testTimeout, func() { _ = syscall.Kill(rig.pid, syscall.SIGKILL) })
+		defer watchdog.Stop()
+		for rig.lines.Scan() {
+			if strings.Contains(rig.lines.Text(), "discovery=127.0.0.1:3") {
+				return
+			}
+			if strings.Contains(rig.lines.Text(), "not reloaded") {
+				break
 			}
-		}()
-		select {
-		case <-reloaded:
-		case <-time.After(2 * time.Second):
-			t.Error("the new configuration is not in force")
 		}
+		t.Error("the new configuration is not in force")
 	})
 }
 
--- a/internal/sidecar/client_conn.go
+++ b/internal/sidecar/client_conn.go
@@ -8,6 +8,8 @@
 	"os"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // connPhase is what a client connection is doing, ordered by which is evicted first.
@@ -24,14 +26,11 @@
 // connection is not evicted, and neither are idle ones that have carried requests.
 const partialRequestGrace = 50 * time.Millisecond
 
-// maxPipelinedBytes is how many bytes are read ahead behind an active request: one more request without a body.
-const maxPipelinedBytes = maxRequestHeaderBytes
-
 // lingerTimeout is how long a connection stays open after its last response for the client to close it. If it were closed
 // over unread bytes, it would be reset, and the client could lose the response.
 const lingerTimeout = shutdownMargin / 2
 
-// errPipelineTooLong ends the connection of a client that sends more than maxPipelinedBytes behind an active request.
+// errPipelineTooLong ends the connection of a client that sends more behind an active request than is read ahead.
 var errPipelineTooLong = errors.New("too many bytes behind an active request")
 
 // clientConn is a connection of a client. Reading from it and evicting it exclude each other under the lock of the
@@ -47,14 +46,18 @@
 	// readerWaiting: the server has processed all it has read and waits for more. While it is false, what was read last
 	// may be a request.
 	readerWaiting  bool
-	requestStarted bool      // a part of the next request is read
-	pipelined      []byte    // read behind the active request
+	requestStarted bool // a part of the next request is read
+	readAhead      readAheadBuffer
+	head           headScanner
+	bodyRemaining  int       // bytes of the active request's body that are not read
+	arrivedAt      time.Time // when the bytes arrived that were read last
 	readErr        error     // set when the client has closed its side: nothing more arrives
 	goneAt         time.Time // when readErr was set
 	unanswered     bool      // a request is read completely and its response is not written
 	writing        bool      // the response is being written
 	writeErr       error     // of the latest response
 	closeChecked   bool      // checkClose has run
+	handled        bool      // the request that was read last has reached the frontend
 	malformed      bool      // what follows on the connection cannot be told from the request before
 	readClosed     bool      // set when this side closes: nothing more is read
 }
@@ -87,7 +90,8 @@
 	return n, err
 }
 
-// readAvailable reads without blocking; wouldBlock reports that nothing is there.
+// readAvailable reads without blocking; wouldBlock reports that nothing is there. net/http gets one request at a time: no
+// byte beyond a head, and none beyond the body that the frontend has announced.
 func (c *clientConn) readAvailable(fd int, p []byte) (n int, wouldBlock bool, err error) {
 	listener := c.listener
 	listener.mu.Lock()
@@ -95,49 +99,99 @@
 	if c.readClosed {
 		return 0, false, net.ErrClosed
 	}
+	// While a request is active net/http reads a single byte, to notice that the client disconnects, and stops reading
+	// when it gets one.
+	if c.phase == phaseActive && len(p) == 1 && c.bodyRemaining == 0 {
+		return c.readBehind(fd)
+	}
 	if c.readErr != nil {
 		return 0, false, c.readErr
 	}
-	// While a request is active net/http reads a single byte, to notice that the client disconnects, and stops reading
-	// when it gets one.
-	if c.phase == phaseActive && len(p) == 1 {
-		return c.readPipelined(fd)
+	if c.readAhead.size == 0 {
+		if wouldBlock, err = c.fill(fd); wouldBlock || err != nil {
+			return 0, wouldBlock, err
+		}
 	}
-	if len(c.pipelined) > 0 {
-		n = copy(p, c.pipelined)
-		c.pipelined = c.pipelined[n:]
-	} else if n, err = readNonblocking(fd, p); errors.Is(err, syscall.EAGAIN) {
+	return c.deliver(p), false, nil
+}
+
+// fill reads once from the socket into the empty buffer. The caller holds the lock.
+func (c *clientConn) fill(fd int) (wouldBlock bool, err error) {
+	n, err := readNonblocking(fd, c.listener.readBuffer[:])
+	if errors.Is(err, syscall.EAGAIN) {
 		c.readerWaiting = true
-		listener.signalCapacity()
-		return 0, true, nil
+		c.listener.signalCapacity()
+		return true, nil
 	}
 	c.readerWaiting = false
+	if err == nil && !c.readAhead.append(c.listener.readBuffer[:n], arrivalTime(fd)) {
+		err = errPipelineTooLong // no memory is left for it
+	}
 	c.setReadErr(err)
-	if c.phase != phaseActive && !c.requestStarted {
-		c.requestStarted = true
-		c.phaseSince = time.Now()
+	return false, err
+}
+
+// deliver moves bytes from the buffer to net/http. The caller holds the lock.
+func (c *clientConn) deliver(p []byte) int {
+	limit := len(p)
+	if c.phase == phaseActive && c.bodyRemaining > 0 {
+		limit = min(limit, c.bodyRemaining)
+	}
+	data, arrivedAt := c.readAhead.first(limit)
+	if c.phase != phaseActive {
+		length, ended := c.head.scan(data)
+		data = data[:length]
+		if ended {
+			c.head = headScanner{}
+		}
+		if !c.requestStarted {
+			c.requestStarted = true
+			c.phaseSince = time.Now()
+		}
 	}
-	return n, false, err
+	n := copy(p, data)
+	c.readAhead.discard(n)
+	c.readerWaiting = false
+	c.arrivedAt = arrivedAt
+	c.bodyRemaining = max(c.bodyRemaining-n, 0)
+	return n
 }
 
-// readPipelined reads ahead behind an active request until the client disconnects, which would go unnoticed otherwise.
-// The caller holds the lock.
-func (c *clientConn) readPipelined(fd int) (n int, wouldBlock bool, err error) {
-	for {
+// readBehind reads ahead behind the active request until the client disconnects, which would go unnoticed otherwise. In the
+// last phase of a drain nothing more is read: a request that stays unread is sent again elsewhere. The caller holds the
+// lock.
+func (c *clientConn) readBehind(fd int) (n int, wouldBlock bool, err error) {
+	for c.readErr == nil {
+		if c.listener.readAheadEnded {
+			err := peekDescriptor(fd)
+			if err == nil || errors.Is(err, syscall.EAGAIN) {
+				return 0, true, nil
+			}
+			c.setReadErr(err)
+			break
+		}
 		n, err := readNonblocking(fd, c.listener.readBuffer[:])
 		if errors.Is(err, syscall.EAGAIN) {
 			return 0, true, nil
 		}
-		c.setReadErr(err)
-		if err == nil && len(c.pipelined)+n > maxPipelinedBytes {
-			c.setReadErr(errPipelineTooLong)
-			c.pipelined = nil
-		}
-		if c.readErr != nil {
-			return 0, false, c.readErr
+		if err == nil && !c.readAhead.append(c.listener.readBuffer[:n], arrivalTime(fd)) {
+			err = errPipelineTooLong
+			c.readAhead.clear()
 		}
-		c.pipelined = append(c.pipelined, c.listener.readBuffer[:n]...)
+		c.setReadErr(err)
 	}
+	return 0, false, c.readErr
+}
+
+// arrivalTime is when the bytes that were just read from a socket arrived at this machine: they may have waited there, if
+// the process was held up or could not accept the connection. Where the system does not tell, they have arrived now.
+func arrivalTime(fd int) time.Time {
+	now := time.Now()
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return now
+	}
+	return now.Add(-time.Duration(info.Last_data_recv) * time.Millisecond)
 }
 
 // readNonblocking reads once. The error is io.EOF when the client has closed its side, syscall.EAGAIN when nothing is
@@ -203,6 +257,16 @@
 	c.unanswered = true
 }
 
+// setHandled records that a request has reached the frontend, and was not rejected by net/http.
+func (c *clientConn) setHandled() {
+	if c == nil {
+		return
+	}
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.handled = true
+}
+
 // setWriting records that the response is being written; it blocks only while the client does not read.
 func (c *clientConn) setWriting() {
 	if c == nil {
@@ -244,13 +308,13 @@
 		return
 	}
 	c.closeChecked = true
-	if err := peekRead(c.rawConn); err != nil && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR) {
+	if err := peekRead(c.rawConn); err != nil && !errors.Is(err, syscall.EAGAIN) {
 		return // the client has gone, and nobody has noticed yet
 	}
-	droppedBehind := len(c.pipelined) > 0 && !c.malformed
+	droppedBehind := c.readAhead.size > 0 && c.handled && !c.malformed
 	if c.unanswered || droppedBehind {
 		c.listener.monitor.violated(invariantEveryRequestAnswered, "client", c.RemoteAddr().String(), "reason", reason.String(),
-			"unanswered", c.unanswered, "read_ahead_bytes", len(c.pipelined))
+			"unanswered", c.unanswered, "read_ahead_bytes", c.readAhead.size)
 	}
 }
 
@@ -274,17 +338,49 @@
 	return c.phase != phaseActive && c.readerWaiting && (!c.requestStarted || now.Sub(c.phaseSince) >= partialRequestGrace)
 }
 
-// disconnectErr returns the error with which the client has closed its side, nil if it is connected.
+// disconnectErr returns the error with which the client has closed its side, nil if it is connected. The connection has an
+// active request. The socket is asked, as nobody may have noticed yet; what stands before the end is read ahead.
 func (c *clientConn) disconnectErr() error {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	if c.readErr != nil {
+	if c.readErr != nil || c.readClosed {
 		return c.readErr
 	}
-	if err := peekRead(c.rawConn); !errors.Is(err, syscall.EAGAIN) {
+	// Control, as Read would wait for the goroutine that reads the connection. If it fails the connection is closed.
+	if err := c.rawConn.Control(func(fd uintptr) { _, _, _ = c.readBehind(int(fd)) }); err != nil {
 		return err
 	}
-	return nil
+	return c.readErr
+}
+
+// expectBody announces the body of the active request, of which nothing has been read.
+func (c *clientConn) expectBody(size int) {
+	if c == nil {
+		return
+	}
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.bodyRemaining = size
+}
+
+// lastArrival is when the last byte that was read arrived: once a request is read completely, its last byte.
+func (c *clientConn) lastArrival() time.Time {
+	if c == nil {
+		return time.Now()
+	}
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	return c.arrivedAt
+}
+
+// hasReadAhead reports whether anything was read behind the active request.
+func (c *clientConn) hasReadAhead() bool {
+	if c == nil {
+		return false
+	}
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	return c.readAhead.size > 0
 }
 
 // openAndEmpty reports whether a connection is open and holds no unread bytes.
@@ -297,13 +393,21 @@
 func peekRead(rawConn syscall.RawConn) error {
 	var err error
 	// Control, as Read would wait for the goroutine that reads the connection.
-	controlErr := rawConn.Control(func(fd uintptr) {
-		var buffer [1]byte
-		var n int
-		n, _, err = syscall.Recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		if err == nil && n == 0 {
-			err = io.EOF
-		}
-	})
+	controlErr := rawConn.Control(func(fd uintptr) { err = peekDescriptor(int(fd)) })
 	return cmp.Or(controlErr, err)
 }
+
+// peekDescriptor is peekRead for a file descriptor.
+func peekDescriptor(fd int) error {
+	var buffer [1]byte
+	for {
+		n, _, err := syscall.Recvfrom(fd, buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case errors.Is(err, syscall.EINTR):
+		case err == nil && n == 0:
+			return io.EOF
+		default:
+			return err
+		}
+	}
+}
--- a/internal/sidecar/client_conn_test.go
+++ b/internal/sidecar/client_conn_test.go
@@ -16,7 +16,7 @@
 
 // A client that has disconnected, or has only closed its sending side, gets no response that no server made.
 func TestHalfClosedClientGetsNoResponse(t *testing.T) {
-	server := newBlockingBackend(t, "a", serveOK)
+	server := newBlockingBackend(t, serveOK)
 	sidecar := startSidecar(t, newConfigDocument(newFakeRegistry(t).address(), server.endpoint))
 	conn := sidecar.dial()
 	writeTo(t, conn, sidecar.wireText(sidecar.newRequest("lookup", 2*time.Second)))
@@ -90,7 +90,7 @@
 // The disconnect of a client is also noticed behind bytes that it has pipelined: its request ends at once, not at its
 // deadline. A client that pipelines too much gets status 400.
 func TestPipeliningClientDisconnects(t *testing.T) {
-	server := newBlockingBackend(t, "a", serveOK)
+	server := newBlockingBackend(t, serveOK)
 	sidecar := startSidecar(t, newConfigDocument(newFakeRegistry(t).address(), server.endpoint))
 	for name, pipelined := range map[string]string{
 		"nothing": "", "a byte": "G", "a request": sidecar.wireText(sidecar.newRequest("lookup", time.Minute)),
@@ -102,7 +102,7 @@
 			writeTo(t, conn, sidecar.wireText(sidecar.newRequest("lookup", time.Minute)))
 			receiveWithin(t, "the request", server.arrivals)
 			tryWrite(conn, pipelined) // it may be disconnected while it sends
-			if len(pipelined) > maxPipelinedBytes {
+			if len(pipelined) > maxReadAheadBytes {
 				if got := readStatus(t, bufio.NewReader(conn)); got != 400 {
 					t.Errorf("answered %d", got)
 				}
@@ -121,7 +121,7 @@
 
 // Pipelined requests are served one after the other.
 func TestPipelinedRequestsAreServedInOrder(t *testing.T) {
-	server := newBlockingBackend(t, "a", serveOK)
+	server := newBlockingBackend(t, serveOK)
 	sidecar := startSidecar(t, newConfigDocument(newFakeRegistry(t).address(), server.endpoint))
 	conn := sidecar.dial()
 	reader := bufio.NewReader(conn)
@@ -283,3 +283,34 @@
 		t.Error("TCP_NODELAY is off")
 	}
 }
+
+// A request is not forwarded if its client has left behind further bytes that nobody has read: the end of the connection
+// stands behind them.
+func TestDisconnectBehindUnreadBytes(t *testing.T) {
+	arrived := make(chan struct{}, 10)
+	front := newTestFrontend(t, 10, 10, func(event loopEvent) {
+		if _, ok := event.(requestArrived); ok {
+			arrived <- struct{}{}
+		}
+	})
+	closed := make(chan struct{})
+	httpServer := front.httpServer()
+	onConnState := httpServer.ConnState
+	httpServer.ConnState = func(netConn net.Conn, state http.ConnState) {
+		onConnState(netConn, state)
+		if state == http.StateClosed {
+			close(closed)
+		}
+	}
+	sidecar := &testSidecar{t: t, Sidecar: &Sidecar{frontend: front}}
+	client := sidecar.dial()
+	request := sidecar.newRequest("lookup", time.Minute)
+	request.Header.Set("X-Padding", strings.Repeat("p", 3000)) // more than one read holds
+	writeTo(t, client, sidecar.wireText(request)+strings.Repeat(sidecar.wireText(sidecar.newRequest("lookup", time.Minute)), 20))
+	client.Close()
+	serveUntilCleanup(t, httpServer, front.listener) // only now is the connection accepted
+	receiveWithin(t, "the end", closed)
+	if len(arrived) != 0 {
+		t.Errorf("%d requests of a client that had gone were forwarded", len(arrived))
+	}
+}
--- a/internal/sidecar/client_listener.go
+++ b/internal/sidecar/client_listener.go
@@ -8,6 +8,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // capacityPollInterval is how soon Accept looks again for a connection to evict, and drain for one to close.
@@ -30,10 +32,15 @@
 	lingerTimeout time.Duration
 	monitor       *monitor
 
-	mu            sync.Mutex
-	drainDeadline time.Time // no connection lingers longer; zero: no drain yet
-	conns         map[*clientConn]struct{}
-	readBuffer    [readBufferBytes]byte // for one read under the lock
+	acceptErrorLoggedAt time.Time // the goroutine that accepts alone uses it
+
+	mu sync.Mutex
+	// readAheadEnded: nothing is read behind active requests any more; see clientConn.readBehind.
+	readAheadEnded bool
+	drainDeadline  time.Time // no connection lingers longer; zero: no drain yet
+	conns          map[*clientConn]struct{}
+	readBuffer     [readBufferBytes]byte // for one read under the lock
+	memory         *byteBudget           // of what is read ahead; nil: no bound
 }
 
 func newClientListener(listener net.Listener, maxConns, maxPersistent int) *clientListener {
@@ -50,10 +57,7 @@
 
 // Accept implements net.Listener. It waits until the table has capacity for the connection, evicting another if it can.
 func (l *clientListener) Accept() (net.Conn, error) {
-	tcpConn, err := l.AcceptTCP()
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return nil, net.ErrClosed // of stopAccepting; net/http would retry after a timeout
-	}
+	tcpConn, err := l.acceptTCP()
 	if err != nil {
 		return nil, err
 	}
@@ -61,7 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := &clientConn{TCPConn: tcpConn, rawConn: rawConn, listener: l, phase: phaseNew}
+	conn := &clientConn{TCPConn: tcpConn, rawConn: rawConn, listener: l, phase: phaseNew, readAhead: readAheadBuffer{memory: l.memory}}
 	for !l.register(conn) {
 		select {
 		case <-l.capacityFreed:
@@ -74,6 +78,70 @@
 	return conn, nil
 }
 
+// acceptTCP accepts a connection. It outlives every error that passes: net/http would end the server with some of them, and
+// have clients wait for up to a second after the others. net.ErrClosed means that stopAccepting has ended accepting.
+func (l *clientListener) acceptTCP() (*net.TCPConn, error) {
+	var pause retryPause
+	for failed := false; ; {
+		tcpConn, err := l.AcceptTCP()
+		switch {
+		case err == nil:
+			return tcpConn, nil
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			if !failed && !l.connectionQueued() {
+				return nil, net.ErrClosed // net/http would retry after a timeout
+			}
+			// The time was over before the queue was empty.
+			failed = false
+			if err := l.stopAccepting(); err != nil {
+				return nil, err
+			}
+		case acceptErrorLasts(err):
+			return nil, err
+		default:
+			failed = true
+			l.logAcceptError(err)
+			if !l.sleep(pause.next()) {
+				return nil, net.ErrClosed
+			}
+		}
+	}
+}
+
+// connectionQueued reports whether a connection waits to be accepted.
+func (l *clientListener) connectionQueued() bool {
+	rawListener, err := l.SyscallConn()
+	if err != nil {
+		return false
+	}
+	queued := false
+	controlErr := rawListener.Control(func(fd uintptr) {
+		polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(polled, 0)
+		queued = err == nil && n > 0 || errors.Is(err, unix.EINTR)
+	})
+	return controlErr == nil && queued
+}
+
+// logAcceptError logs an error of accept, at most one a second, and counts it.
+func (l *clientListener) logAcceptError(err error) {
+	l.monitor.count(acceptFailed)
+	if now := time.Now(); now.Sub(l.acceptErrorLoggedAt) >= time.Second {
+		l.acceptErrorLoggedAt = now
+		frontendLog.Warn("accept failed, trying again", "error", err)
+	}
+}
+
+// sleep waits; it reports false if the listener is closed meanwhile.
+func (l *clientListener) sleep(pause time.Duration) bool {
+	select {
+	case <-time.After(pause):
+		return true
+	case <-l.closed:
+		return false
+	}
+}
+
 // Close implements net.Listener. It also ends an Accept that waits for capacity.
 func (l *clientListener) Close() error {
 	var err error
@@ -221,6 +289,13 @@
 	return l.SetDeadline(time.Now().Add(capacityPollInterval))
 }
 
+// endReadAhead has nothing more read behind active requests.
+func (l *clientListener) endReadAhead() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.readAheadEnded = true
+}
+
 // anyPersistent reports whether a connection that has carried a request may carry another.
 func (l *clientListener) anyPersistent() bool {
 	l.mu.Lock()
@@ -239,7 +314,8 @@
 	conn.phase = phase
 	conn.phaseSince = time.Now()
 	conn.readerWaiting = false
-	conn.requestStarted = len(conn.pipelined) > 0
+	conn.handled = false
+	conn.requestStarted = conn.readAhead.size > 0
 	if phase != phaseActive {
 		l.signalCapacity()
 	}
@@ -268,6 +344,7 @@
 	case http.StateClosed, http.StateHijacked:
 		l.mu.Lock()
 		delete(l.conns, conn)
+		conn.readAhead.clear()
 		l.signalCapacity()
 		l.mu.Unlock()
 	case http.StateNew: // Accept has entered it
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"net"
 	"net/netip"
-	"os"
 	"strconv"
 	"time"
 
@@ -100,7 +99,7 @@
 	if path == "" {
 		return nil, errors.New("NODE_CONFIG is not set")
 	}
-	data, err := os.ReadFile(path)
+	data, err := readFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
--- a/internal/sidecar/conn_pool.go
+++ b/internal/sidecar/conn_pool.go
@@ -10,7 +10,6 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"milldeck/balance"
@@ -152,7 +151,7 @@
 	if err != nil {
 		p.releaseConn()
 		p.guard.monitor.count(upstreamConnDialFailed)
-		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+		if isLocalError(err) {
 			err = errNoSocketAvailable // this machine's fault, not the server's
 		}
 		return nil, err
--- a/internal/sidecar/frontend.go
+++ b/internal/sidecar/frontend.go
@@ -66,6 +66,7 @@
 // request crosses the end of its connection sends it again on a new one. serveErr signals that the server has stopped
 // accepting. Shutdown of net/http is not used, as it also closes connections on which a request is being read.
 func (f *frontend) closeConnections(server *http.Server, serveErr <-chan error, deadline time.Time) error {
+	f.listener.endReadAhead() // first: see announceClose
 	f.closeAfterResponse.Store(true)
 	if f.listener.drain(deadline) {
 		if err := f.listener.stopAccepting(); err != nil {
@@ -82,9 +83,8 @@
 
 // ServeHTTP serves the ready check and the requests of the application.
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if f.closeAfterResponse.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	clientConnOf(r).setHandled()
+	f.announceClose(w, r)
 	f.extendWriteDeadline(w)
 	if r.URL.Path == readyPath && r.Method == http.MethodGet && checkFraming(r) == nil {
 		f.serveReady(w)
@@ -125,6 +125,14 @@
 	f.serveCall(w, r, call)
 }
 
+// announceClose has the connection end with this response, in the last phase of a drain. If more requests were read from it
+// they are answered first.
+func (f *frontend) announceClose(w http.ResponseWriter, r *http.Request) {
+	if f.closeAfterResponse.Load() && !clientConnOf(r).hasReadAhead() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // rejectMalformed responds to a malformed request and ends its connection: what follows on it may be a part of the
 // request.
 func (f *frontend) rejectMalformed(w http.ResponseWriter, r *http.Request, err error) {
@@ -161,16 +169,14 @@
 		writeResponse(w, r, disconnectedResponse(w, err))
 		return
 	}
-	traceRequest(call, time.Until(call.deadline))
+	traceRequest(call, time.Since(clientConnOf(r).lastArrival()))
 	resp := f.awaitResponse(w, r, call)
 	waitForWriter(&call.writeMu)
 	call.responded.Store(true)
 	f.monitor.count(resp.reason)
 	traceAnswered(call, resp.status, resp.reason)
 	f.extendWriteDeadline(w)
-	if f.closeAfterResponse.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	f.announceClose(w, r)
 	writeResponse(w, r, resp)
 	f.bodyMemory.release(resp.reservedBytes)
 }
@@ -178,7 +184,7 @@
 // awaitResponse waits for the response of the event loop, or ends the call itself: when the client disconnects, when the
 // process is about to end, or when the response is overdue.
 func (f *frontend) awaitResponse(w http.ResponseWriter, r *http.Request, call *call) response {
-	overdueAfter := time.Until(call.deadline) + durationFromMS(f.config.settings.AnswerGracePeriod) + overdueGrace
+	overdueAfter := max(time.Until(call.deadline), 0) + durationFromMS(f.config.settings.AnswerGracePeriod) + overdueGrace
 	overdue := time.NewTimer(overdueAfter)
 	defer overdue.Stop()
 	f.post(requestArrived{call})
--- a/internal/sidecar/frontend_helpers_test.go
+++ b/internal/sidecar/frontend_helpers_test.go
@@ -47,10 +47,10 @@
 	release  chan struct{} // one for each response
 }
 
-func newBlockingBackend(t *testing.T, uid string, serve serveFunc) *blockingBackend {
+func newBlockingBackend(t *testing.T, serve serveFunc) *blockingBackend {
 	server := &blockingBackend{arrivals: make(chan string, 100), release: make(chan struct{}, 100)}
 	done := make(chan struct{})
-	server.backend = newBackend(t, uid, func(conn net.Conn, r *http.Request, body string) bool {
+	server.backend = newBackend(t, "a", func(conn net.Conn, r *http.Request, body string) bool {
 		server.arrivals <- r.URL.RawQuery
 		select {
 		case <-server.release:
--- a/internal/sidecar/pipelining_test.go
+++ b/internal/sidecar/pipelining_test.go
@@ -17,7 +17,7 @@
 	t.Run("their time runs from their arrival", func(t *testing.T) {
 		const wait = 400 * time.Millisecond
 		told := make(chan time.Duration, 10)
-		server := newBlockingBackend(t, "a", func(conn net.Conn, r *http.Request, body string) bool {
+		server := newBlockingBackend(t, func(conn net.Conn, r *http.Request, body string) bool {
 			ms, err := strconv.Atoi(r.Header.Get(timeoutHeader))
 			if err != nil {
 				t.Error(err)
@@ -45,7 +45,7 @@
 		}
 	})
 	t.Run("an overdue one is answered at its turn", func(t *testing.T) {
-		server := newBlockingBackend(t, "a", serveOK)
+		server := newBlockingBackend(t, serveOK)
 		sidecar := startSidecar(t, newConfigDocument(newFakeRegistry(t).address(), server.endpoint))
 		conn := sidecar.dial()
 		writeTo(t, conn, sidecar.wireText(sidecar.newRequest("lookup", testTimeout))+sidecar.wireText(sidecar.newRequest("charge", 100*time.Millisecond)))
@@ -77,7 +77,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			server := newBlockingBackend(t, "a", serveOK)
+			server := newBlockingBackend(t, serveOK)
 			sidecar := startSidecar(t, newConfigDocument(newFakeRegistry(t).address(), server.endpoint))
 			conn := sidecar.dial()
 			requests := append([]*http.Request{sidecar.newRequest("lookup", testTimeout)}, behind(sidecar)...)
@@ -98,7 +98,7 @@
 	}
 	t.Run("at the end of a drain", func(t *testing.T) {
 		const count = 5
-		server := newBlockingBackend(t, "a", serveOK)
+		server := newBlockingBackend(t, serveOK)
 		sidecar := startSidecar(t, newConfigDocument(newFakeRegistry(t).address(), server.endpoint))
 		sidecar.serveWindow = 300 * time.Millisecond
 		conn := sidecar.dial()
--- a/internal/sidecar/request_parsing.go
+++ b/internal/sidecar/request_parsing.go
@@ -185,6 +185,7 @@
 	var body []byte
 	if r.ContentLength > 0 {
 		controller := http.NewResponseController(w)
+		clientConnOf(r).expectBody(int(r.ContentLength))
 		err := controller.SetReadDeadline(time.Now().Add(bodyTimeout))
 		if err == nil {
 			body, err = io.ReadAll(r.Body)
@@ -196,7 +197,7 @@
 			return fmt.Errorf("body: %w", err)
 		}
 	}
-	call.deadline = time.Now().Add(timeout)
+	call.deadline = clientConnOf(r).lastArrival().Add(timeout)
 	if drainDeadline := f.drainDeadline.Load(); drainDeadline != nil && drainDeadline.Before(call.deadline) {
 		call.deadline = *drainDeadline // the process may be killed then
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"log/slog"
 	"math"
-	"net"
 	"net/http"
 	"runtime"
 	"runtime/debug"
@@ -61,7 +60,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	listener, err := net.Listen("tcp", config.ListenAddress)
+	listener, err := listen(config.ListenAddress)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
@@ -78,6 +77,7 @@
 	loop.discovery = newDiscoveryClient(config.DiscoveryAddress, loop.post, func(task func()) { loop.workers.Go(task) })
 	loop.peers = listenPeers(config.peers)
 	clients := newClientListener(listener, clientSockets, int(persistentConnFraction*float64(config.Sockets)))
+	clients.memory = bodyMemory
 	clients.monitor = loop.pool.guard.monitor
 	return &Sidecar{
 		config:           config,
--- a/internal/sidecar/trace.go
+++ b/internal/sidecar/trace.go
@@ -13,9 +13,11 @@
 // traceEnabled reports whether the trace is on; where it is off a request costs nothing for it.
 func traceEnabled() bool { return traceLog.Enabled(context.Background(), slog.LevelDebug) }
 
-func traceRequest(call *call, left time.Duration) {
+// traceRequest logs a request that was read; waited is how long ago its last byte arrived.
+func traceRequest(call *call, waited time.Duration) {
 	if traceEnabled() {
-		traceLog.Debug("request received", "request", call.clientID, "class", call.request.Class, "left", left)
+		traceLog.Debug("request received", "request", call.clientID, "class", call.request.Class,
+			"left", time.Until(call.deadline), "waited", waited)
 	}
 }
 
