--- a/internal/sidecar/client_conn_test.go
+++ b/internal/sidecar/client_conn_test.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // A client that has disconnected, or has only closed its sending side, gets no response that no server made.
@@ -314,3 +316,49 @@
 		t.Errorf("%d requests of a client that had gone were forwarded", len(arrived))
 	}
 }
+
+// An attempt that ends while its client leaves is not followed by another, also if nobody has noticed yet that the client has
+// left: goroutines run in any order after the process was held up.
+func TestNoRetryAfterUnnoticedDisconnect(t *testing.T) {
+	serve := respondWith("HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", true)
+	for name, behind := range map[string]string{"at once": "", "behind further bytes": "GET /api HTTP/1.1\r\nHost: b\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			serverA, serverB := newBackend(t, "a", serve), newBackend(t, "b", serve)
+			loop := newSteppedLoop(t, newConfigDocument("127.0.0.1:1", serverA.endpoint, serverB.endpoint))
+			front := newTestFrontend(t, 10, 10, func(loopEvent) {})
+			client, conn := front.listener.dialAndAccept(t)
+			front.listener.setPhase(conn, phaseActive)
+			call := loop.newCall("lookup")
+			call.client = conn
+			loop.handleEvent(loop.nowMS(), requestArrived{call})
+			completed := loop.nextCompleted()
+			writeTo(t, client, behind)
+			client.Close()
+			waitUntil(t, "the end of the connection", func() bool { return peerHasClosed(t, conn) })
+			loop.handleEvent(loop.nowMS(), completed)
+			for call.inFlight > 0 {
+				loop.handleEvent(loop.nowMS(), loop.nextCompleted())
+			}
+			if got := serverA.requests.Load() + serverB.requests.Load(); got != 1 {
+				t.Errorf("%d attempts, want the one before the client left", got)
+			}
+			if call.markAnswered() {
+				loop.handleEvent(loop.nowMS(), clientDisconnected{call})
+			}
+		})
+	}
+}
+
+// peerHasClosed reports whether the peer of a connection has closed it, also behind unread bytes.
+func peerHasClosed(t *testing.T, conn *clientConn) bool {
+	t.Helper()
+	closed := false
+	if err := conn.rawConn.Control(func(fd uintptr) {
+		polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		_, err := unix.Poll(polled, 0)
+		closed = err == nil && polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP) != 0
+	}); err != nil {
+		t.Fatal(err)
+	}
+	return closed
+}
--- a/internal/sidecar/event_loop.go
+++ b/internal/sidecar/event_loop.go
@@ -19,6 +19,7 @@
 type eventLoop struct {
 	config   *Config
 	clock    clock
+	wallNow  func() time.Time // the machine's wall clock, which may be stepped
 	balancer *balance.Balancer
 
 	events  chan loopEvent
@@ -41,6 +42,7 @@
 	return &eventLoop{
 		config:         config,
 		clock:          newClock(),
+		wallNow:        time.Now,
 		balancer:       balancer,
 		events:         make(chan loopEvent, eventQueueSize),
 		stopped:        make(chan struct{}),
