Sidecar: the client is asked before each first byte; slow start survives steps of the clock

Cause: whether a client had left was known from the goroutine that reads its connection; where an attempt ended before that had run, a retry went out for nobody. A server's boot time was compared with the wall clock as it was when the sidecar started: after a step back by an hour each restarted server counted as an hour old, thus warm. Change: sendGuard looks at the client's socket, behind bytes that stand before its end too. bootTimes remembers steps of the wall clock and takes a boot time for the latest start that it may mean.

--- a/internal/sidecar/client_conn.go
+++ b/internal/sidecar/client_conn.go
@@ -343,7 +343,7 @@
 func (c *clientConn) disconnectErr() error {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	if c.readErr != nil || c.readClosed {
+	if c.readErr != nil || c.readClosed || c.phase != phaseActive {
 		return c.readErr
 	}
 	// Control, as Read would wait for the goroutine that reads the connection. If it fails the connection is closed.
--- a/internal/sidecar/endpoint_updates.go
+++ b/internal/sidecar/endpoint_updates.go
@@ -1,7 +1,7 @@
 package sidecar
 
 import (
-	"math"
+	"time"
 
 	"milldeck/balance"
 )
@@ -24,6 +24,7 @@
 		l.dispatch(nowMS, balance.EndpointUpdate{Kind: update.kind, DiscoveryUnreachable: update.discoveryUnreachable})
 		return
 	}
+	l.boots.observe(l.wallNow(), l.clock.unixMS(time.Now()))
 	endpoints := update.endpoints.Endpoints
 	l.discovery.revision.Store(update.endpoints.Revision)
 	servers := make([]balance.Server, 0, len(endpoints))
@@ -48,7 +49,7 @@
 	if sameProcess {
 		server.StartedAt = known.startedAtMS
 	} else {
-		server.StartedAt = math.Min(server.StartedAt, nowMS) // the server's clock may be ahead of this one
+		server.StartedAt = l.boots.startedAtMS(listed.BootMS, nowMS)
 	}
 	if sameProcess && server.State == balance.Ready && known.address == listed.Address {
 		return server
--- a/internal/sidecar/event_loop.go
+++ b/internal/sidecar/event_loop.go
@@ -20,6 +20,7 @@
 	config   *Config
 	clock    clock
 	wallNow  func() time.Time // the machine's wall clock, which may be stepped
+	boots    bootTimes
 	balancer *balance.Balancer
 
 	events  chan loopEvent
@@ -43,6 +44,7 @@
 		config:         config,
 		clock:          newClock(),
 		wallNow:        time.Now,
+		boots:          newBootTimes(),
 		balancer:       balancer,
 		events:         make(chan loopEvent, eventQueueSize),
 		stopped:        make(chan struct{}),
--- a/internal/sidecar/send_guard.go
+++ b/internal/sidecar/send_guard.go
@@ -12,6 +12,7 @@
 var (
 	errCallAnswered    = fmt.Errorf("%w: the call is answered", errObsolete)
 	errWriteTimePassed = fmt.Errorf("%w: its time to be written is over", errObsolete)
+	errClientGone      = fmt.Errorf("%w: the client has gone", errObsolete)
 	errUpstreamRetired = fmt.Errorf("%w: the server is withdrawn", errObsolete)
 	errForbidden       = fmt.Errorf("%w: an invariant forbids it", errObsolete)
 )
@@ -42,6 +43,8 @@
 		return errWriteTimePassed
 	case a.upstream.retired.Load():
 		return errUpstreamRetired
+	case call.client != nil && call.client.disconnectErr() != nil:
+		return errClientGone
 	}
 	for _, earlier := range call.begun {
 		if earlier == a {
