--- a/internal/faultsoak/clients.go
+++ b/internal/faultsoak/clients.go
@@ -178,7 +178,7 @@
 		return
 	}
 	conn.Close()
-	resend := conn.reused && !isTimeout(err)
+	resend := conn.reused && !isTimeout(err) && !c.sidecar.killedSince(sentAt)
 	if !resend {
 		c.fail(record, err, sentAt)
 		return
@@ -218,9 +218,11 @@
 	c.records.update(func() { record.Outcome = outcome })
 }
 
-// readAnswer reads the answer to a request that is sent, and gives the connection back.
+// readAnswer reads the answer to a request that is sent, and gives the connection back. Answers come in order, so that of a
+// pipelined request is due after the one before, however late that was.
 func (c *clients) readAnswer(conn *clientConn, record *requestRecord) error {
-	deadline := record.SentAt.Add(record.Timeout + answerGrace + labSlack)
+	c.records.update(func() { record.dueAt = laterOf(record.SentAt.Add(record.Timeout), time.Now()) })
+	deadline := record.dueAt.Add(answerGrace + labSlack)
 	if err := conn.SetReadDeadline(deadline); err != nil {
 		return err
 	}
@@ -334,7 +336,7 @@
 		return
 	}
 	conn.Close()
-	crossed := conn.reused && answered == 0 && !isTimeout(err)
+	crossed := conn.reused && answered == 0 && !isTimeout(err) && !c.sidecar.killedSince(sentAt)
 	for _, record := range sent[answered:] {
 		if crossed { // the close crossed them all; sending them again is nothing that the soak needs
 			c.records.update(func() { record.Outcome, record.resentAt = outcomeUnreachable, time.Now() })
--- a/internal/faultsoak/records.go
+++ b/internal/faultsoak/records.go
@@ -36,6 +36,7 @@
 	SentAt  time.Time // its last byte was written; zero: it never was
 
 	resentAt   time.Time // sent once more, as a close crossed it
+	dueAt      time.Time // the answer, without any grace
 	LeftAt     time.Time // the client closed its connection; zero: it waited
 	AnsweredAt time.Time
 	Status     int
