--- a/internal/sidecar/conn_pool.go
+++ b/internal/sidecar/conn_pool.go
@@ -59,6 +59,8 @@
 	limit    *io.LimitedReader // under reader: bounds a response, headers included
 	upstream *upstreamHost
 
+	readDeadline time.Time // of the present exchange
+
 	idleSince time.Time
 	idleTime  time.Duration // before its present use
 }
--- a/internal/sidecar/send_guard.go
+++ b/internal/sidecar/send_guard.go
@@ -20,7 +20,7 @@
 const (
 	// timeoutSlack is by how much the timeout that a server is told may exceed what the client has left: the process may be
 	// held up between reading its clock and writing.
-	timeoutSlack = 150 * time.Millisecond
+	timeoutSlack = heldUpAllowance
 	// disconnectGrace is how long after a client has gone an attempt may still begin.
 	disconnectGrace = 100 * time.Millisecond
 )
--- a/internal/sidecar/upstream_exchange.go
+++ b/internal/sidecar/upstream_exchange.go
@@ -121,12 +121,21 @@
 // read or write reports.
 func cancelWithContext(ctx context.Context, conn *upstreamConn, readDeadline, writeDeadline time.Time) (stop func() bool) {
 	stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(expiredDeadline) })
-	_ = conn.SetReadDeadline(readDeadline)
+	conn.readDeadline = readDeadline
 	_ = conn.SetWriteDeadline(writeDeadline)
+	setReadDeadline(ctx, conn, readDeadline)
+	return stop
+}
+
+// setReadDeadline sets the deadline of the next reads, within that of the exchange and unless ctx has ended.
+func setReadDeadline(ctx context.Context, conn *upstreamConn, deadline time.Time) {
+	if conn.readDeadline.Before(deadline) {
+		deadline = conn.readDeadline
+	}
+	_ = conn.SetReadDeadline(deadline)
 	if ctx.Err() != nil {
-		_ = conn.SetDeadline(expiredDeadline) // the two lines above may have undone it
+		_ = conn.SetDeadline(expiredDeadline) // what was set may have undone it
 	}
-	return stop
 }
 
 // writeRequest writes a request, and reports whether it is completely written: only then may a server execute it. The
--- a/internal/sidecar/upstream_response.go
+++ b/internal/sidecar/upstream_response.go
@@ -9,9 +9,11 @@
 	"net/http"
 	"net/http/httputil"
 	"net/textproto"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"milldeck/balance"
 )
@@ -20,6 +22,11 @@
 	maxBodyBytes           = 64 << 10 // of requests and responses
 	maxResponseHeaderBytes = 32 << 10
 	maxInterimResponses    = 5 // 1xx responses before the final one
+	minBodyRead            = 512
+
+	// responseEndTimeout is how long a server may take between two reads of a body without a length, and before it closes the
+	// connection behind it. Some never do; others are asked while there is time.
+	responseEndTimeout = 100 * time.Millisecond
 )
 
 // Headers of a server's response, in the canonical form that net/textproto stores.
@@ -31,6 +38,7 @@
 var (
 	errMalformedResponse   = errors.New("malformed response")
 	errBodyMemoryExhausted = errors.New("body memory is exhausted")
+	errResponseNotEnded    = errors.New("response without a length does not end")
 )
 
 // readResponse reads the response to a request that is completely written: if it fails, the server may have executed the
@@ -41,7 +49,7 @@
 	var body []byte
 	reservedBytes := 0
 	if err == nil {
-		body, reservedBytes, err = p.readBody(conn.reader, status, header)
+		body, reservedBytes, err = p.readBody(ctx, conn, status, header)
 	}
 	if err != nil {
 		return exchangeResult{outcome: brokenResult(ctx, err)}, false
@@ -60,7 +68,7 @@
 	} else {
 		p.bodyMemory.release(reservedBytes)
 	}
-	return result, !closesConnection(header) && conn.reader.Buffered() == 0
+	return result, !endsWithConnection(header) && !closesConnection(header) && conn.reader.Buffered() == 0
 }
 
 // brokenResult is the result of an exchange whose response is incomplete.
@@ -134,47 +142,90 @@
 	return int(number), nil
 }
 
-// readBody reads a complete body. One that is cut short, or whose length is not given in exactly one way, is an error, so
-// that it is never passed on. It also returns how much of the body memory it has reserved, 0 on error.
-func (p *connPool) readBody(reader *bufio.Reader, status int, header http.Header) (body []byte, reservedBytes int, err error) {
-	length, chunked, err := bodyLength(status, header)
+// readBody reads a complete body. One that is cut short, or whose length could be read in two ways, is an error, so that it
+// is never passed on. It also returns how much of the body memory it has reserved, 0 on error.
+func (p *connPool) readBody(ctx context.Context, conn *upstreamConn, status int, header http.Header) (body []byte, reservedBytes int, err error) {
+	framing, err := bodyFraming(status, header)
 	if err != nil {
 		return nil, 0, err
 	}
-	if !p.bodyMemory.reserve(length) {
+	if framing.untilClose && status != http.StatusOK {
+		return nil, 0, nil // only the status matters, and the body may have no end
+	}
+	if !p.bodyMemory.reserve(framing.length) {
 		return nil, 0, errBodyMemoryExhausted
 	}
-	if chunked {
-		body, err = readChunked(reader)
-	} else {
-		body, err = readExactly(reader, length)
+	switch {
+	case framing.chunked:
+		body, err = readChunked(conn.reader)
+	case framing.untilClose:
+		body, err = readUntilClose(ctx, conn)
+	default:
+		body, err = readExactly(conn.reader, framing.length)
 	}
 	if err != nil {
-		p.bodyMemory.release(length)
+		p.bodyMemory.release(framing.length)
 		return nil, 0, err
 	}
-	p.bodyMemory.release(length - len(body))
+	p.bodyMemory.release(framing.length - len(body))
 	return body, len(body), nil
 }
 
-// bodyLength is the length of a body, or the most that a chunked one may have. A body without a length is an error, as it
-// could be cut short unnoticed.
-func bodyLength(status int, header http.Header) (length int, chunked bool, err error) {
+// framing is how the end of a body is found.
+type framing struct {
+	length     int // in bytes, at most if it is chunked or ends with the connection
+	chunked    bool
+	untilClose bool
+}
+
+// bodyFraming is the framing of a body. Lengths that contradict each other, or that are given twice, are an error.
+func bodyFraming(status int, header http.Header) (framing, error) {
 	transferEncodings, contentLengths := header["Transfer-Encoding"], header["Content-Length"]
 	switch {
 	case status == http.StatusNoContent || status == http.StatusNotModified: // the sidecar never asks for these
-		return 0, false, errMalformedResponse
+		return framing{}, errMalformedResponse
+	case endsWithConnection(header):
+		return framing{length: maxBodyBytes, untilClose: true}, nil
 	case len(transferEncodings) == 1 && len(contentLengths) == 0 && strings.EqualFold(transferEncodings[0], "chunked"):
-		return maxBodyBytes, true, nil
+		return framing{length: maxBodyBytes, chunked: true}, nil
 	case len(transferEncodings) == 0 && len(contentLengths) == 1:
 		length, err := strconv.ParseUint(contentLengths[0], 10, 63)
 		if err != nil || length > maxBodyBytes {
-			return 0, false, errMalformedResponse
+			return framing{}, errMalformedResponse
 		}
-		return int(length), false, nil
+		return framing{length: int(length)}, nil
 	default:
-		return 0, false, errMalformedResponse
+		return framing{}, errMalformedResponse
+	}
+}
+
+// endsWithConnection reports whether a response has no length, so that the end of its connection is its end.
+func endsWithConnection(header http.Header) bool {
+	return len(header["Transfer-Encoding"]) == 0 && len(header["Content-Length"]) == 0
+}
+
+// readUntilClose reads a body up to the end of the connection: a server that closes it has sent all. A reset is an error,
+// as the process has died or the connection was cut, and so is a connection that stays open: the server does not mean its
+// end to end the body.
+func readUntilClose(ctx context.Context, conn *upstreamConn) ([]byte, error) {
+	var body []byte
+	for len(body) <= maxBodyBytes {
+		setReadDeadline(ctx, conn, time.Now().Add(responseEndTimeout))
+		body = slices.Grow(body, minBodyRead)
+		n, err := conn.reader.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case errors.Is(err, io.EOF) && conn.limit.N > 0 && len(body) <= maxBodyBytes:
+			return body, nil
+		case errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(conn.readDeadline) && ctx.Err() == nil:
+			return nil, errResponseNotEnded
+		case errors.Is(err, io.EOF): // of the limit of a response
+			return nil, errMalformedResponse
+		case err != nil:
+			return nil, err
+		}
 	}
+	return nil, errMalformedResponse
 }
 
 // readChunked reads a chunked body and its trailer.
