--- a/cmd/milldeck/lab_soak.go
+++ b/cmd/milldeck/lab_soak.go
@@ -21,10 +21,14 @@
 // maxSoakLength bounds one run of the soak.
 const maxSoakLength = 10 * time.Minute
 
+// maxFaultRate bounds the faults a second.
+const maxFaultRate = 20
+
 // soakFlags are the flags of lab soak.
 type soakFlags struct {
 	firstSeed, lastSeed uint64
 	length              time.Duration
+	faultRate           float64
 	sidecarPath, dir    string
 }
 
@@ -40,6 +44,7 @@
 	command.Flags().Uint64Var(&flags.firstSeed, "seed", 1, "seed of the first run")
 	command.Flags().Uint64Var(&flags.lastSeed, "to", 0, "seed of the last run (default: that of the first)")
 	command.Flags().DurationVar(&flags.length, "for", 15*time.Second, "length of the load of each run")
+	command.Flags().Float64Var(&flags.faultRate, "faults", faultsoak.DefaultFaultRate, "faults a second")
 	command.Flags().StringVar(&flags.sidecarPath, "sidecar", "", "program of the sidecar (default: beside this program)")
 	command.Flags().StringVar(&flags.dir, "dir", "", "folder for configurations and logs (default: a temporary one, kept after violations)")
 	return command
@@ -49,6 +54,9 @@
 	if f.length <= 0 || f.length > maxSoakLength {
 		return usageError{fmt.Errorf("--for %v: more than 0, at most %v", f.length, maxSoakLength)}
 	}
+	if !(f.faultRate >= 0 && f.faultRate <= maxFaultRate) {
+		return usageError{fmt.Errorf("--faults %v: at most %v", f.faultRate, maxFaultRate)}
+	}
 	own, err := os.Executable()
 	if err != nil {
 		return err
@@ -85,7 +93,7 @@
 		return 0, err
 	}
 	result, err := faultsoak.Run(command.Context(), faultsoak.Options{
-		Seed: seed, Length: f.length, SidecarPath: f.sidecarPath, MilldeckPath: own, Dir: dir,
+		Seed: seed, Length: f.length, FaultRate: f.faultRate, SidecarPath: f.sidecarPath, MilldeckPath: own, Dir: dir,
 	})
 	if err != nil {
 		return 0, err
--- a/internal/faultsoak/oracle_test.go
+++ b/internal/faultsoak/oracle_test.go
@@ -153,7 +153,7 @@
 // The same seed draws the same run, and another one another.
 func TestPlanFollowsFromSeed(t *testing.T) {
 	describe := func(seed uint64) (text []string) {
-		for _, planned := range newPlan(seed, time.Minute).Faults {
+		for _, planned := range newPlan(seed, time.Minute, DefaultFaultRate).Faults {
 			text = append(text, planned.String())
 		}
 		return text
@@ -162,7 +162,7 @@
 		t.Error("a plan does not follow from its seed")
 	}
 	overlapping := 0
-	faults := newPlan(7, time.Minute).Faults
+	faults := newPlan(7, time.Minute, DefaultFaultRate).Faults
 	for i, one := range faults {
 		for _, other := range faults[i+1:] {
 			if one.At < other.At+other.For && other.At < one.At+one.For {
--- a/internal/faultsoak/plan.go
+++ b/internal/faultsoak/plan.go
@@ -92,19 +92,21 @@
 	WarmKeys bool
 }
 
+// DefaultFaultRate has two or three faults overlap.
+const DefaultFaultRate = 2.0
+
 const (
-	faultsPerSecond = 2.0
-	firstFaultAt    = 1500 * time.Millisecond // the sidecars have met the servers by then
-	maxFaultLength  = 2500 * time.Millisecond
-	maxHold         = 150 * time.Millisecond // the longest that the standing test has a process held up
-	maxCallFailure  = time.Second
+	firstFaultAt   = 1500 * time.Millisecond // the sidecars have met the servers by then
+	maxFaultLength = 2500 * time.Millisecond
+	maxHold        = 150 * time.Millisecond // the longest that the standing test has a process held up
+	maxCallFailure = time.Second
 )
 
-// newPlan draws a run. With two faults a second of up to 2.5 s each, two or three overlap.
-func newPlan(seed uint64, length time.Duration) plan {
+// newPlan draws a run with so many faults a second.
+func newPlan(seed uint64, length time.Duration, faultRate float64) plan {
 	random := rand.New(rand.NewPCG(seed, 0))
 	drawn := plan{Seed: seed, Length: length, Push: random.IntN(2) == 0, WarmKeys: random.IntN(2) == 0}
-	count := int(faultsPerSecond * (length - firstFaultAt).Seconds())
+	count := int(faultRate * (length - firstFaultAt).Seconds())
 	for range count {
 		drawn.Faults = append(drawn.Faults, drawFault(random, length))
 	}
--- a/internal/faultsoak/run.go
+++ b/internal/faultsoak/run.go
@@ -50,6 +50,7 @@
 type Options struct {
 	Seed         uint64
 	Length       time.Duration // of the load
+	FaultRate    float64       // faults a second
 	SidecarPath  string
 	MilldeckPath string
 	Dir          string // of configurations and logs
@@ -113,7 +114,7 @@
 	}
 	defer block.Release()
 	run := &soak{
-		options: options, plan: newPlan(options.Seed, options.Length), ctx: ctx, block: block, records: newRecords(),
+		options: options, plan: newPlan(options.Seed, options.Length, options.FaultRate), ctx: ctx, block: block, records: newRecords(),
 		clockAt: monotonicClock(), reference: time.Now(),
 	}
 	defer run.close()
--- a/internal/sidecar/client_conn.go
+++ b/internal/sidecar/client_conn.go
@@ -1,15 +1,10 @@
 package sidecar
 
 import (
-	"cmp"
 	"errors"
-	"io"
 	"net"
-	"os"
 	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // connPhase is what a client connection is doing, ordered by which is evicted first.
@@ -62,155 +57,6 @@
 	readClosed     bool      // set when this side closes: nothing more is read
 }
 
-// Read implements net.Conn for net/http, which reads on one goroutine at a time.
-func (c *clientConn) Read(p []byte) (int, error) {
-	var n int
-	var err error
-	readReady := func(fd uintptr) bool {
-		var wouldBlock bool
-		n, wouldBlock, err = c.readAvailable(int(fd), p)
-		return !wouldBlock
-	}
-	waitErr := c.rawConn.Read(readReady)
-	if errors.Is(waitErr, os.ErrDeadlineExceeded) && c.betweenRequests() {
-		// A request may have arrived at the last moment, before this goroutine was scheduled. If Control fails, the
-		// deadline error stands.
-		_ = c.rawConn.Control(func(fd uintptr) {
-			if readReady(fd) {
-				waitErr = nil
-			}
-		})
-	}
-	if waitErr != nil {
-		err = waitErr
-	}
-	if err != nil && err != io.EOF { //nolint:errorlint // io.Reader asks for a bare io.EOF
-		err = &net.OpError{Op: "read", Net: "tcp", Err: err} // the type that net/http expects
-	}
-	return n, err
-}
-
-// readAvailable reads without blocking; wouldBlock reports that nothing is there. net/http gets one request at a time: no
-// byte beyond a head, and none beyond the body that the frontend has announced.
-func (c *clientConn) readAvailable(fd int, p []byte) (n int, wouldBlock bool, err error) {
-	listener := c.listener
-	listener.mu.Lock()
-	defer listener.mu.Unlock()
-	if c.readClosed {
-		return 0, false, net.ErrClosed
-	}
-	// While a request is active net/http reads a single byte, to notice that the client disconnects, and stops reading
-	// when it gets one.
-	if c.phase == phaseActive && len(p) == 1 && c.bodyRemaining == 0 {
-		return c.readBehind(fd)
-	}
-	if c.readErr != nil {
-		return 0, false, c.readErr
-	}
-	if c.readAhead.size == 0 {
-		if wouldBlock, err = c.fill(fd); wouldBlock || err != nil {
-			return 0, wouldBlock, err
-		}
-	}
-	return c.deliver(p), false, nil
-}
-
-// fill reads once from the socket into the empty buffer. The caller holds the lock.
-func (c *clientConn) fill(fd int) (wouldBlock bool, err error) {
-	n, err := readNonblocking(fd, c.listener.readBuffer[:])
-	if errors.Is(err, syscall.EAGAIN) {
-		c.readerWaiting = true
-		c.listener.signalCapacity()
-		return true, nil
-	}
-	c.readerWaiting = false
-	if err == nil && !c.readAhead.append(c.listener.readBuffer[:n], arrivalTime(fd)) {
-		err = errPipelineTooLong // no memory is left for it
-	}
-	c.setReadErr(err)
-	return false, err
-}
-
-// deliver moves bytes from the buffer to net/http. The caller holds the lock.
-func (c *clientConn) deliver(p []byte) int {
-	limit := len(p)
-	if c.phase == phaseActive && c.bodyRemaining > 0 {
-		limit = min(limit, c.bodyRemaining)
-	}
-	data, arrivedAt := c.readAhead.first(limit)
-	if c.phase != phaseActive {
-		length, ended := c.head.scan(data)
-		data = data[:length]
-		if ended {
-			c.head = headScanner{}
-		}
-		if !c.requestStarted {
-			c.requestStarted = true
-			c.phaseSince = time.Now()
-		}
-	}
-	n := copy(p, data)
-	c.readAhead.discard(n)
-	c.readerWaiting = false
-	c.arrivedAt = arrivedAt
-	c.bodyRemaining = max(c.bodyRemaining-n, 0)
-	return n
-}
-
-// readBehind reads ahead behind the active request until the client disconnects, which would go unnoticed otherwise. In the
-// last phase of a drain nothing more is read: a request that stays unread is sent again elsewhere. The caller holds the
-// lock.
-func (c *clientConn) readBehind(fd int) (n int, wouldBlock bool, err error) {
-	for c.readErr == nil {
-		if c.listener.readAheadEnded {
-			err := peekDescriptor(fd)
-			if err == nil || errors.Is(err, syscall.EAGAIN) {
-				return 0, true, nil
-			}
-			c.setReadErr(err)
-			break
-		}
-		n, err := readNonblocking(fd, c.listener.readBuffer[:])
-		if errors.Is(err, syscall.EAGAIN) {
-			return 0, true, nil
-		}
-		if err == nil && !c.readAhead.append(c.listener.readBuffer[:n], arrivalTime(fd)) {
-			err = errPipelineTooLong
-			c.readAhead.clear()
-		}
-		c.setReadErr(err)
-	}
-	return 0, false, c.readErr
-}
-
-// arrivalTime is when the bytes that were just read from a socket arrived at this machine: they may have waited there, if
-// the process was held up or could not accept the connection. Where the system does not tell, they have arrived now.
-func arrivalTime(fd int) time.Time {
-	now := time.Now()
-	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-	if err != nil {
-		return now
-	}
-	return now.Add(-time.Duration(info.Last_data_recv) * time.Millisecond)
-}
-
-// readNonblocking reads once. The error is io.EOF when the client has closed its side, syscall.EAGAIN when nothing is
-// there.
-func readNonblocking(fd int, p []byte) (int, error) {
-	for {
-		n, err := syscall.Read(fd, p)
-		switch {
-		case err == syscall.EINTR:
-		case err != nil:
-			return 0, err
-		case n == 0:
-			return 0, io.EOF
-		default:
-			return n, nil
-		}
-	}
-}
-
 // Close implements net.Conn. It closes the sending side first and lingers, so that the client gets its last response
 // whatever it has sent meanwhile, which is discarded. net/http calls it on the goroutine that reads.
 func (c *clientConn) Close() error {
@@ -382,32 +228,3 @@
 	defer c.listener.mu.Unlock()
 	return c.readAhead.size > 0
 }
-
-// openAndEmpty reports whether a connection is open and holds no unread bytes.
-func openAndEmpty(conn net.Conn) bool {
-	rawConn, err := conn.(*net.TCPConn).SyscallConn()
-	return err == nil && errors.Is(peekRead(rawConn), syscall.EAGAIN)
-}
-
-// peekRead returns the error that the next read would return, nil if there are bytes. It consumes nothing.
-func peekRead(rawConn syscall.RawConn) error {
-	var err error
-	// Control, as Read would wait for the goroutine that reads the connection.
-	controlErr := rawConn.Control(func(fd uintptr) { err = peekDescriptor(int(fd)) })
-	return cmp.Or(controlErr, err)
-}
-
-// peekDescriptor is peekRead for a file descriptor.
-func peekDescriptor(fd int) error {
-	var buffer [1]byte
-	for {
-		n, _, err := syscall.Recvfrom(fd, buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case errors.Is(err, syscall.EINTR):
-		case err == nil && n == 0:
-			return io.EOF
-		default:
-			return err
-		}
-	}
-}
--- /dev/null
+++ b/internal/sidecar/withdrawal_test.go
@@ -0,0 +1,50 @@
+package sidecar
+
+import (
+	"testing"
+
+	"milldeck/balance"
+)
+
+// A server is withdrawn by its name: an entry that says so needs no address that could be dialed.
+func TestWithdrawalNeedsNoAddress(t *testing.T) {
+	for _, state := range []string{"Terminating", "Gone", "Unheard-of"} {
+		for _, address := range []string{"", "host:1", "127.0.0.1"} {
+			t.Run(state+"/"+address, func(t *testing.T) {
+				serverA, serverB := readyEndpoint("a", "127.0.0.1:7"), readyEndpoint("b", "127.0.0.1:8")
+				loop := newSteppedLoop(t, newConfigDocument("127.0.0.1:1", serverA, serverB))
+				withdrawn := serverA
+				withdrawn.State, withdrawn.Address = state, address
+				list := endpointList{Revision: 2, Endpoints: []endpoint{withdrawn}}
+				if err := list.sanitize(); err != nil {
+					t.Fatalf("the list is refused: %v", err)
+				}
+				loop.handleEvent(loop.nowMS(), deltaUpdate(list.Revision, list.Endpoints...))
+				if loop.readyUpstreams[loop.config.serverID("a")] != nil {
+					t.Error("the server is still used")
+				}
+			})
+		}
+	}
+}
+
+// Servers in two zones that the settings do not name are not in one zone: a key that one has met is unknown to the other.
+func TestUnknownZonesAreDistinct(t *testing.T) {
+	document := newConfigDocument("127.0.0.1:1").replaceSetting(`"group": "cell"`, `"group": "zone"`)
+	for _, zones := range [][2]string{{"x", "y"}, {"", "x"}, {"z", "x"}} {
+		serverA, serverB := newBackend(t, "a", respondAndReset("")), newBackend(t, "b", respondAndReset(""))
+		first, second := serverA.endpoint, serverB.endpoint
+		first.Zone, second.Zone = zones[0], zones[1]
+		loop := newSteppedLoop(t, document)
+		loop.handleEvent(loop.nowMS(), fullUpdate(2, first, second))
+		call := loop.submit("reserve")
+		loop.handleEvent(loop.nowMS(), loop.nextCompleted())
+		if len(call.attempts) != 1 || call.attempts[0].result != balance.Reset {
+			t.Errorf("zones %q: %d attempts were decided, the first ended with %v", zones, len(call.attempts), call.attempts[0].result)
+		}
+		for call.inFlight > 0 {
+			loop.handleEvent(loop.nowMS(), loop.nextCompleted())
+		}
+		loop.disconnect(call)
+	}
+}
