Sidecar: withdrawals need no address; zones that the settings do not name are distinct

Cause: an entry without a usable address was dropped whatever its state, and a change that held no other entry was refused with its watch, so a drain was missed for good; all zones that the settings lack had one number, so a request by key could go from one to another that does not know the key. Change: only an entry of a ready server, or without a state, needs an address; such zones get numbers of their own.

--- a/internal/faultsoak/oracle_test.go
+++ b/internal/faultsoak/oracle_test.go
@@ -60,11 +60,15 @@
 		"two attempts in turn": {lookupClass, func(r *requestRecord) {
 			r.Attempts = append(r.Attempts, attemptAt(1, 95, 99, 0))
 		}, ""},
-		"executed twice":            {chargeClass, func(r *requestRecord) { r.Executions = []execution{{0, "", at(1)}, {1, "", at(20)}} }, "twice"},
-		"executed twice, may be":    {lookupClass, func(r *requestRecord) { r.Executions = []execution{{0, "", at(1)}, {7, "", at(20)}} }, ""},
-		"the same cell":             {reserveClass, func(r *requestRecord) { r.Executions = []execution{{0, "", at(1)}, {1, "", at(20)}} }, ""},
-		"another cell":              {reserveClass, func(r *requestRecord) { r.Executions = []execution{{0, "", at(1)}, {7, "", at(20)}} }, "twice"},
-		"the window is over":        {quoteClass, func(r *requestRecord) { r.Executions = []execution{{0, "", at(1)}, {1, "", at(5200)}} }, "twice"},
+		"executed twice":         {chargeClass, func(r *requestRecord) { r.Executions = []execution{{0, "", at(1)}, {1, "", at(20)}} }, "twice"},
+		"executed twice, may be": {lookupClass, func(r *requestRecord) { r.Executions = []execution{{0, "", at(1)}, {7, "", at(20)}} }, ""},
+		"the same cell":          {reserveClass, func(r *requestRecord) { r.Executions = []execution{{0, "", at(1)}, {1, "", at(20)}} }, ""},
+		"another cell":           {reserveClass, func(r *requestRecord) { r.Executions = []execution{{0, "", at(1)}, {7, "", at(20)}} }, "twice"},
+		"the window is over":     {quoteClass, func(r *requestRecord) { r.Executions = []execution{{0, "", at(1)}, {1, "", at(5200)}} }, "twice"},
+		"within the window, executed late": {quoteClass, func(r *requestRecord) {
+			r.Attempts = append(r.Attempts, attemptAt(1, 95, 99, 0))
+			r.Executions = []execution{{0, "", at(1)}, {1, "", at(5200)}}
+		}, ""},
 		"rejected after execution":  {chargeClass, func(r *requestRecord) { r.Status, r.Executions = 503, []execution{{0, "", at(1)}} }, "rejection"},
 		"rejected, may be repeated": {quoteClass, func(r *requestRecord) { r.Status, r.Executions = 503, []execution{{0, "", at(1)}} }, ""},
 		"failed after execution":    {chargeClass, func(r *requestRecord) { r.Status, r.Executions = 504, []execution{{0, "", at(1)}} }, ""},
--- a/internal/sidecar/endpoint_list.go
+++ b/internal/sidecar/endpoint_list.go
@@ -67,7 +67,8 @@
 	return nil
 }
 
-// dropUnusable removes the entries without a UID or a usable address. Of several with the same UID the last stays.
+// dropUnusable removes the entries without a UID, and those without a usable address unless they withdraw a server, which
+// is done by its name. Of several with the same UID the last stays.
 func (l *endpointList) dropUnusable() {
 	occurrences := make(map[string]int, len(l.Endpoints))
 	for i := range l.Endpoints {
@@ -76,7 +77,8 @@
 	l.Endpoints = slices.DeleteFunc(l.Endpoints, func(entry endpoint) bool {
 		occurrences[entry.UID]--
 		superseded := occurrences[entry.UID] > 0
-		return entry.UID == "" || superseded || entry.State != stateRemoved && !usableAddress(entry.Address)
+		withdrawn := entry.State != stateReady && entry.State != ""
+		return entry.UID == "" || superseded || !withdrawn && !usableAddress(entry.Address)
 	})
 }
 
@@ -96,7 +98,7 @@
 		StartedAt:        listed.BootMS,
 		RelativeCapacity: listed.CapacityHint,
 		Cell:             listed.PodGroup,
-		Zone:             numberOrUnknown(cfg.zoneNumbers, listed.Zone),
+		Zone:             cfg.zoneNumber(listed.Zone),
 		Kind:             numberOrUnknown(cfg.kindNumbers, listed.Model),
 	}
 	switch listed.State {
@@ -113,6 +115,18 @@
 // serverID is the ID of the server with a UID, whether it is listed or not.
 func (cfg *Config) serverID(uid string) balance.ServerID { return cfg.toServer(&endpoint{UID: uid}).ID }
 
+// zoneNumber is the number of a zone. Zones that the settings do not name have numbers below unknownNumber, each its own:
+// servers of two of them are not in one zone.
+func (cfg *Config) zoneNumber(name string) int {
+	number := numberOrUnknown(cfg.zoneNumbers, name)
+	if number != unknownNumber || name == "" {
+		return number
+	}
+	hash := fnv.New32a()
+	_, _ = io.WriteString(hash, name) // a hash accepts any input
+	return unknownNumber - 1 - int(hash.Sum32())
+}
+
 // unknownNumber is the number of a zone or kind that the settings lack.
 const unknownNumber = -1
 
