--- a/cmd/sidecar/system_call_test.go
+++ b/cmd/sidecar/system_call_test.go
@@ -70,7 +70,7 @@
 		_, _ = io.WriteString(w, "done") // fails only if the sidecar has gone
 	})}
 	go func() { _ = server.Serve(listener) }() // ends with the test
-	t.Cleanup(func() { _ = server.Close() }) // the test is over
+	t.Cleanup(func() { _ = server.Close() })   // the test is over
 	return &shimRig{config: fmt.Sprintf(`{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1",
 		"known":{"rev":1,"all":true,"targets":[{"uid":"a","endpoint":%q,"state":"Ready","capacity_hint":1}]},
 		"settings":{"classes":[{"name":"c","effect":"non_idempotent","on_time_ms":500,"hard_limit_ms":1500}],
