All servers outlive errors of accept that pass; what errors mean stands in one package

Cause: net/http ends Serve for ENOBUFS, ENOMEM, EPROTO and others of accept. The replica and the supervisor ended with it; the agent logged it and stayed alive without listening, so its sidecar had no discovery until somebody restarted it. Change: internal/sockets sorts the errors and has the listener that goes on; agent, replica, controllers, release and supervisor use it, and the sidecar's own listener its rules. What the sidecar reads ahead has a memory budget of its own, a twentieth of the limit, so that clients that send too much cannot take the bodies'.

--- a/cmd/milldeck/release_start.go
+++ b/cmd/milldeck/release_start.go
@@ -24,6 +24,7 @@
 	"milldeck/internal/release"
 	"milldeck/internal/release/controller"
 	"milldeck/internal/release/plan"
+	"milldeck/internal/sockets"
 	"milldeck/internal/supervisor"
 )
 
@@ -157,7 +158,7 @@
 		IdleTimeout:       reportsIdleTimeout,
 	}
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(listener) }()
+	go func() { served <- server.Serve(sockets.Lasting(listener)) }()
 	return func(ctx context.Context) error {
 		ctx, cancel := context.WithTimeout(ctx, reportsTimeout)
 		defer cancel()
--- a/cmd/milldeck/serve_lease.go
+++ b/cmd/milldeck/serve_lease.go
@@ -5,12 +5,12 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"time"
 
 	"milldeck/internal/leaderelection"
 	"milldeck/internal/registry"
+	"milldeck/internal/sockets"
 )
 
 // Bounds of the pause after a campaign that failed, at random between the two.
@@ -26,13 +26,13 @@
 // or the server fails.
 func serveUnderLease(ctx context.Context, listen string, handler http.Handler, client *registry.Client, lease string, ttl time.Duration,
 	work func(context.Context, *leaderelection.Lease) error) error {
-	listener, err := net.Listen("tcp", listen)
+	listener, err := sockets.Listen("tcp", listen)
 	if err != nil {
 		return err
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: leaseServerTimeout, WriteTimeout: 2 * leaseServerTimeout, IdleTimeout: time.Minute}
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(listener) }()
+	go func() { failed <- server.Serve(sockets.Lasting(listener)) }()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	electionEnded := make(chan struct{})
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"milldeck/internal/registry"
+	"milldeck/internal/sockets"
 )
 
 const (
@@ -81,7 +82,7 @@
 	if err := a.loadList(); err != nil {
 		return nil, err
 	}
-	if a.listener, err = net.Listen("tcp", opts.Listen); err != nil {
+	if a.listener, err = sockets.Listen("tcp", opts.Listen); err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -94,7 +95,7 @@
 		ErrorLog:          slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
 	}
 	a.background.Go(func() {
-		if err := a.server.Serve(a.listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := a.server.Serve(sockets.Lasting(a.listener)); !errors.Is(err, http.ErrServerClosed) {
 			a.logger.Error("HTTP server failed", "error", err)
 		}
 	})
--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/hashicorp/raft"
+
+	"milldeck/internal/sockets"
 )
 
 const (
@@ -105,7 +107,7 @@
 	options.setDefaults()
 	replica := newReplica(options)
 	// The HTTP address is bound first: a replica that clients cannot reach must not vote.
-	listener, err := net.Listen("tcp", options.HTTPAddr)
+	listener, err := sockets.Listen("tcp", options.HTTPAddr)
 	if err != nil {
 		return nil, fmt.Errorf("http: %w", err)
 	}
@@ -116,7 +118,7 @@
 	}
 	replica.httpServer = replica.newHTTPServer()
 	replica.goroutines.Go(func() {
-		if err := replica.httpServer.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := replica.httpServer.Serve(sockets.Lasting(listener)); !errors.Is(err, http.ErrServerClosed) {
 			replica.fail(fmt.Errorf("http: %w", err))
 		}
 	})
--- a/internal/sidecar/client_listener.go
+++ b/internal/sidecar/client_listener.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"milldeck/internal/sockets"
 )
 
 // capacityPollInterval is how soon Accept looks again for a connection to evict, and drain for one to close.
@@ -81,7 +83,7 @@
 // acceptTCP accepts a connection. It outlives every error that passes: net/http would end the server with some of them, and
 // have clients wait for up to a second after the others. net.ErrClosed means that stopAccepting has ended accepting.
 func (l *clientListener) acceptTCP() (*net.TCPConn, error) {
-	var pause retryPause
+	var pause sockets.Pause
 	for failed := false; ; {
 		tcpConn, err := l.AcceptTCP()
 		switch {
@@ -96,12 +98,12 @@
 			if err := l.stopAccepting(); err != nil {
 				return nil, err
 			}
-		case acceptErrorLasts(err):
+		case sockets.AcceptErrorLasts(err):
 			return nil, err
 		default:
 			failed = true
 			l.logAcceptError(err)
-			if !l.sleep(pause.next()) {
+			if !l.sleep(pause.Next()) {
 				return nil, net.ErrClosed
 			}
 		}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -7,11 +7,13 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"os"
 	"strconv"
 	"time"
 
 	"milldeck/balance"
 	"milldeck/internal/placement"
+	"milldeck/internal/sockets"
 	"milldeck/internal/wire"
 )
 
@@ -99,7 +101,11 @@
 	if path == "" {
 		return nil, errors.New("NODE_CONFIG is not set")
 	}
-	data, err := readFile(path)
+	var data []byte
+	err := sockets.Retry(func() (err error) {
+		data, err = os.ReadFile(path)
+		return err
+	})
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
--- a/internal/sidecar/conn_pool.go
+++ b/internal/sidecar/conn_pool.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"milldeck/balance"
+	"milldeck/internal/sockets"
 )
 
 const (
@@ -153,7 +154,7 @@
 	if err != nil {
 		p.releaseConn()
 		p.guard.monitor.count(upstreamConnDialFailed)
-		if isLocalError(err) {
+		if sockets.IsLocal(err) {
 			err = errNoSocketAvailable // this machine's fault, not the server's
 		}
 		return nil, err
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"milldeck/balance"
+	"milldeck/internal/sockets"
 )
 
 const (
@@ -24,8 +25,11 @@
 	memoryLimitFraction = 0.7   // of the limit; the runtime does not count the rest
 	gcPercent           = 300   // there is little garbage compared with the limit, and one core
 	bodyMemoryFraction  = 0.125 // of the limit, for bodies of requests and responses
-	defaultMemoryMB     = 256   // assumed where there is no limit
-	bytesPerMB          = 1 << 20
+	// readAheadMemoryFraction is of the limit too, for what is read behind active requests: apart from the bodies, so that
+	// clients that send too much cannot take their memory.
+	readAheadMemoryFraction = 0.05
+	defaultMemoryMB         = 256 // assumed where there is no limit
+	bytesPerMB              = 1 << 20
 
 	// After SIGTERM new connections arrive for up to 0.4 s, and the application uses those it has while they are open.
 	// SIGKILL comes no sooner than the longest deadline, of which at most maxDrainDeadline counts, and killGracePeriod
@@ -60,7 +64,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	listener, err := listen(config.ListenAddress)
+	listener, err := sockets.Listen("tcp", config.ListenAddress)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
@@ -77,7 +81,8 @@
 	loop.discovery = newDiscoveryClient(config.DiscoveryAddress, loop.post, func(task func()) { loop.workers.Go(task) })
 	loop.peers = listenPeers(config.peers)
 	clients := newClientListener(listener, clientSockets, int(persistentConnFraction*float64(config.Sockets)))
-	clients.memory = bodyMemory
+	clients.memory = &byteBudget{}
+	clients.memory.release(int(readAheadMemoryFraction * float64(cmp.Or(config.MemoryMB, defaultMemoryMB)*bytesPerMB)))
 	clients.monitor = loop.pool.guard.monitor
 	return &Sidecar{
 		config:           config,
--- /dev/null
+++ b/internal/sockets/sockets_test.go
@@ -0,0 +1,123 @@
+package sockets
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const testTimeout = 10 * time.Second
+
+// failingListener returns errors, one by one, and then the connections of the listener.
+type failingListener struct {
+	net.Listener
+	errors []error
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if len(l.errors) == 0 {
+		return l.Listener.Accept()
+	}
+	err := l.errors[0]
+	l.errors = l.errors[1:]
+	return nil, err
+}
+
+// acceptError is an error as package net returns it.
+func acceptError(errno syscall.Errno) error {
+	return &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", errno)}
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	return listener
+}
+
+// Accept goes on after every error that passes.
+func TestLastingListenerOutlivesPassingErrors(t *testing.T) {
+	failing := &failingListener{Listener: listen(t)}
+	for _, errno := range []syscall.Errno{
+		syscall.ECONNABORTED, syscall.EINTR, syscall.EAGAIN, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPROTO,
+		syscall.EPERM, syscall.ENETDOWN, syscall.ENOPROTOOPT, syscall.EHOSTDOWN, syscall.ENONET, syscall.EHOSTUNREACH, syscall.EOPNOTSUPP,
+		syscall.ENETUNREACH, syscall.ETIMEDOUT,
+	} {
+		failing.errors = append(failing.errors, acceptError(errno))
+	}
+	client, err := net.Dial("tcp", failing.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	conn, err := Lasting(failing).Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn.Close()
+}
+
+// Accept ends with an error that lasts.
+func TestLastingListenerEndsWithLastingErrors(t *testing.T) {
+	other := errors.New("something else")
+	for _, lasting := range []error{
+		acceptError(syscall.EBADF), acceptError(syscall.EINVAL), acceptError(syscall.ENOTSOCK), fmt.Errorf("wrapped: %w", net.ErrClosed), other,
+	} {
+		failing := &failingListener{Listener: listen(t), errors: []error{lasting}}
+		if _, err := Lasting(failing).Accept(); !errors.Is(err, lasting) {
+			t.Errorf("%v in place of %v", err, lasting)
+		}
+	}
+}
+
+// endlessListener fails with every call until it is closed.
+type endlessListener struct{ net.Listener }
+
+func (endlessListener) Accept() (net.Conn, error) { return nil, acceptError(syscall.ENFILE) }
+
+// Close ends Accept while it tries again.
+func TestLastingListenerCanBeClosed(t *testing.T) {
+	listener := Lasting(endlessListener{listen(t)})
+	ended := make(chan error, 1)
+	go func() {
+		_, err := listener.Accept()
+		ended <- err
+	}()
+	if err := listener.Close(); err != nil {
+		t.Error(err)
+	}
+	select {
+	case err := <-ended:
+		if !errors.Is(err, net.ErrClosed) {
+			t.Errorf("ended with %v", err)
+		}
+	case <-time.After(testTimeout):
+		t.Error("Accept goes on")
+	}
+}
+
+// Retry tries again only what passes.
+func TestRetry(t *testing.T) {
+	for _, test := range []struct {
+		err  error
+		want int
+	}{{syscall.ENFILE, 3}, {syscall.EADDRNOTAVAIL, 3}, {syscall.EADDRINUSE, 1}, {os.ErrNotExist, 1}, {nil, 1}} {
+		calls := 0
+		err := Retry(func() error {
+			if calls++; calls == 3 {
+				return nil
+			}
+			return test.err
+		})
+		if calls != test.want || test.want == 3 && err != nil || test.want == 1 && !errors.Is(err, test.err) {
+			t.Errorf("%v: %d calls, ended with %v", test.err, calls, err)
+		}
+	}
+}
--- a/internal/supervisor/standin/server.go
+++ b/internal/supervisor/standin/server.go
@@ -12,6 +12,7 @@
 	"net/netip"
 	"time"
 
+	"milldeck/internal/sockets"
 	"milldeck/internal/supervisor"
 	"milldeck/internal/supervisor/core"
 )
@@ -50,7 +51,7 @@
 	}
 	slog.Info("serves", "listen", listener.Addr().String(), "versions", len(versions.Versions))
 	failed := make(chan error, 1)
-	go func() { failed <- httpServer.Serve(listener) }()
+	go func() { failed <- httpServer.Serve(sockets.Lasting(listener)) }()
 	select {
 	case err := <-failed:
 		return fmt.Errorf("supervisor: %w", err)
