--- a/cmd/milldeck/lab_soak.go
+++ b/cmd/milldeck/lab_soak.go
@@ -29,6 +29,7 @@
 	firstSeed, lastSeed uint64
 	length              time.Duration
 	faultRate           float64
+	only                []string
 	sidecarPath, dir    string
 }
 
@@ -45,6 +46,7 @@
 	command.Flags().Uint64Var(&flags.lastSeed, "to", 0, "seed of the last run (default: that of the first)")
 	command.Flags().DurationVar(&flags.length, "for", 15*time.Second, "length of the load of each run")
 	command.Flags().Float64Var(&flags.faultRate, "faults", faultsoak.DefaultFaultRate, "faults a second")
+	command.Flags().StringSliceVar(&flags.only, "only", nil, "kinds of faults to draw from (default: all)")
 	command.Flags().StringVar(&flags.sidecarPath, "sidecar", "", "program of the sidecar (default: beside this program)")
 	command.Flags().StringVar(&flags.dir, "dir", "", "folder for configurations and logs (default: a temporary one, kept after violations)")
 	return command
@@ -93,7 +95,7 @@
 		return 0, err
 	}
 	result, err := faultsoak.Run(command.Context(), faultsoak.Options{
-		Seed: seed, Length: f.length, FaultRate: f.faultRate, SidecarPath: f.sidecarPath, MilldeckPath: own, Dir: dir,
+		Seed: seed, Length: f.length, FaultRate: f.faultRate, Only: f.only, SidecarPath: f.sidecarPath, MilldeckPath: own, Dir: dir,
 	})
 	if err != nil {
 		return 0, err
--- a/internal/faultsoak/clients.go
+++ b/internal/faultsoak/clients.go
@@ -222,7 +222,7 @@
 // pipelined request is due after the one before, however late that was.
 func (c *clients) readAnswer(conn *clientConn, record *requestRecord) error {
 	c.records.update(func() { record.dueAt = laterOf(record.SentAt.Add(record.Timeout), time.Now()) })
-	deadline := record.dueAt.Add(answerGrace + labSlack)
+	deadline := record.dueAt.Add(answerGrace + labSlack + c.records.slack)
 	if err := conn.SetReadDeadline(deadline); err != nil {
 		return err
 	}
@@ -358,7 +358,7 @@
 	if _, err := io.WriteString(conn, text[:1+rand.IntN(len(text)-1)]); err != nil {
 		return
 	}
-	_ = conn.SetReadDeadline(time.Now().Add(badClientLimit + labSlack))
+	_ = conn.SetReadDeadline(time.Now().Add(badClientLimit + labSlack + c.records.slack))
 	if _, err := conn.reader.ReadByte(); isTimeout(err) && !c.sidecar.killedSince(time.Now().Add(-badClientLimit)) {
 		c.records.violate("bad_client", record.ID, "a client that stopped in the middle of a request got neither error nor close")
 	}
--- a/internal/faultsoak/plan.go
+++ b/internal/faultsoak/plan.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
@@ -42,6 +43,21 @@
 	faultAgentDown, faultWatchSilent, faultWatchReset, faultLeaving, faultFlood, faultPipelining, faultPipelining, faultIdle,
 }
 
+// kindsNamed returns the kinds with names, all without any. The error names one that is unknown.
+func kindsNamed(names []string) ([]faultKind, error) {
+	if len(names) == 0 {
+		return allFaults, nil
+	}
+	var kinds []faultKind
+	for _, name := range names {
+		if !slices.Contains(allFaults, faultKind(name)) {
+			return nil, fmt.Errorf("unknown kind of fault %q", name)
+		}
+		kinds = append(kinds, faultKind(name))
+	}
+	return kinds, nil
+}
+
 // fault is one fault of a run.
 type fault struct {
 	Kind    faultKind
@@ -103,19 +119,19 @@
 )
 
 // newPlan draws a run with so many faults a second.
-func newPlan(seed uint64, length time.Duration, faultRate float64) plan {
+func newPlan(seed uint64, length time.Duration, faultRate float64, kinds []faultKind) plan {
 	random := rand.New(rand.NewPCG(seed, 0))
 	drawn := plan{Seed: seed, Length: length, Push: random.IntN(2) == 0, WarmKeys: random.IntN(2) == 0}
 	count := int(faultRate * (length - firstFaultAt).Seconds())
 	for range count {
-		drawn.Faults = append(drawn.Faults, drawFault(random, length))
+		drawn.Faults = append(drawn.Faults, drawFault(random, length, kinds))
 	}
 	return drawn
 }
 
-func drawFault(random *rand.Rand, length time.Duration) fault {
+func drawFault(random *rand.Rand, length time.Duration, kinds []faultKind) fault {
 	drawn := fault{
-		Kind:    allFaults[random.IntN(len(allFaults))],
+		Kind:    kinds[random.IntN(len(kinds))],
 		At:      firstFaultAt + time.Duration(random.Float64()*float64(length-firstFaultAt)),
 		For:     time.Duration((0.2 + 0.8*random.Float64()) * float64(maxFaultLength)),
 		Sidecar: random.IntN(sidecarCount),
--- a/internal/faultsoak/records.go
+++ b/internal/faultsoak/records.go
@@ -86,6 +86,8 @@
 
 // records collect what happens in a run.
 type records struct {
+	slack time.Duration // added to each time limit, for a machine that is busy with other work
+
 	mu         sync.Mutex
 	requests   map[string]*requestRecord
 	unknown    []string // requests that reached a server and that no client sent
@@ -93,7 +95,9 @@
 	violations []Violation
 }
 
-func newRecords() *records { return &records{requests: map[string]*requestRecord{}} }
+func newRecords(slack time.Duration) *records {
+	return &records{slack: slack, requests: map[string]*requestRecord{}}
+}
 
 func (r *records) addRequest(request *requestRecord) {
 	r.mu.Lock()
--- a/internal/faultsoak/run.go
+++ b/internal/faultsoak/run.go
@@ -51,6 +51,8 @@
 	Seed         uint64
 	Length       time.Duration // of the load
 	FaultRate    float64       // faults a second
+	Only         []string      // kinds of faults to draw from; none: all
+	Slack        time.Duration // added to each time limit that is judged, for a machine that is busy with other work
 	SidecarPath  string
 	MilldeckPath string
 	Dir          string // of configurations and logs
@@ -105,6 +107,10 @@
 func Run(ctx context.Context, options Options) (*Result, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	kinds, err := kindsNamed(options.Only)
+	if err != nil {
+		return nil, err
+	}
 	if err := requireEmpty(options.Dir); err != nil {
 		return nil, err
 	}
@@ -114,7 +120,7 @@
 	}
 	defer block.Release()
 	run := &soak{
-		options: options, plan: newPlan(options.Seed, options.Length, options.FaultRate), ctx: ctx, block: block, records: newRecords(),
+		options: options, plan: newPlan(options.Seed, options.Length, options.FaultRate, kinds), ctx: ctx, block: block, records: newRecords(options.Slack),
 		clockAt: monotonicClock(), reference: time.Now(),
 	}
 	defer run.close()
--- a/internal/sidecar/attempt_start_test.go
+++ b/internal/sidecar/attempt_start_test.go
@@ -238,6 +238,9 @@
 		},
 		"process": func(pool *connPool, full bool) { pool.dialer.Control = dialErrorControl(full, syscall.EMFILE) },
 		"machine": func(pool *connPool, full bool) { pool.dialer.Control = dialErrorControl(full, syscall.ENFILE) },
+		"buffers": func(pool *connPool, full bool) { pool.dialer.Control = dialErrorControl(full, syscall.ENOBUFS) },
+		"ports":   func(pool *connPool, full bool) { pool.dialer.Control = dialErrorControl(full, syscall.EADDRNOTAVAIL) },
+		"network": func(pool *connPool, full bool) { pool.dialer.Control = dialErrorControl(full, syscall.ENETUNREACH) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			release := make(chan struct{})
