--- a/internal/faultsoak/clients.go
+++ b/internal/faultsoak/clients.go
@@ -178,7 +178,7 @@
 		return
 	}
 	conn.Close()
-	resend := conn.reused && !isTimeout(err) && !c.sidecar.killedSince(sentAt)
+	resend := conn.reused && !timedOut(err) && !c.sidecar.killedSince(sentAt)
 	if !resend {
 		c.fail(record, err, sentAt)
 		return
@@ -201,7 +201,7 @@
 	}
 }
 
-func isTimeout(err error) bool {
+func timedOut(err error) bool {
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
@@ -212,7 +212,7 @@
 	switch {
 	case c.sidecar.killedSince(sentAt):
 		outcome = outcomeExcused
-	case isTimeout(err):
+	case timedOut(err):
 		outcome = outcomeSilent
 	}
 	c.records.update(func() { record.Outcome = outcome })
@@ -268,7 +268,7 @@
 	} else {
 		conn.Close()
 	}
-	c.records.update(func() { record.Outcome, record.LeftAt = outcomeLeft, time.Now() })
+	c.records.update(func() { record.Outcome, record.DisconnectedAt = outcomeDisconnected, time.Now() })
 	time.Sleep(badClientLimit / 10)
 }
 
@@ -289,10 +289,10 @@
 	_ = conn.SetWriteDeadline(time.Now().Add(badClientLimit / 10))
 	_, _ = io.WriteString(conn, text.String()) // what it wrote is enough
 	conn.Close()
-	left := time.Now()
+	disconnectedAt := time.Now()
 	c.records.update(func() {
 		for _, record := range sent {
-			record.SentAt, record.LeftAt, record.Outcome = left, left, outcomeLeft
+			record.SentAt, record.DisconnectedAt, record.Outcome = disconnectedAt, disconnectedAt, outcomeDisconnected
 		}
 	})
 }
@@ -336,7 +336,7 @@
 		return
 	}
 	conn.Close()
-	crossed := conn.reused && answered == 0 && !isTimeout(err) && !c.sidecar.killedSince(sentAt)
+	crossed := conn.reused && answered == 0 && !timedOut(err) && !c.sidecar.killedSince(sentAt)
 	for _, record := range sent[answered:] {
 		if crossed { // the close crossed them all; sending them again is nothing that the soak needs
 			c.records.update(func() { record.Outcome, record.resentAt = outcomeUnreachable, time.Now() })
@@ -359,21 +359,21 @@
 		return
 	}
 	_ = conn.SetReadDeadline(time.Now().Add(badClientLimit + labSlack + c.records.slack))
-	if _, err := conn.reader.ReadByte(); isTimeout(err) && !c.sidecar.killedSince(time.Now().Add(-badClientLimit)) {
+	if _, err := conn.reader.ReadByte(); timedOut(err) && !c.sidecar.killedSince(time.Now().Add(-badClientLimit)) {
 		c.records.violate("bad_client", record.ID, "a client that stopped in the middle of a request got neither error nor close")
 	}
 }
 
 // hold opens idle connections for a time.
 func (c *clients) hold(until time.Time) {
-	var held []net.Conn
+	var idle []net.Conn
 	for range idleConnections {
 		if conn, err := net.DialTimeout("tcp", c.sidecar.address, clientDialTimeout); err == nil {
-			held = append(held, conn)
+			idle = append(idle, conn)
 		}
 	}
 	time.Sleep(time.Until(until))
-	for _, conn := range held {
+	for _, conn := range idle {
 		conn.Close()
 	}
 }
--- a/internal/faultsoak/oracle.go
+++ b/internal/faultsoak/oracle.go
@@ -18,8 +18,8 @@
 
 // Allowances of the platform's pages, each with what the soak's own machine may add.
 const (
-	leftGrace       = 100*time.Millisecond + measuringSlack // an attempt may begin this long after its client has left
-	toldSlack       = 150*time.Millisecond + measuringSlack // by which a server may be told more than the client has left
+	disconnectGrace = 100*time.Millisecond + measuringSlack // an attempt may begin this long after its client has left
+	timeoutSlack    = 150*time.Millisecond + measuringSlack // by which a server may be told more than the client has left
 	drainGrace      = 750 * time.Millisecond
 	drainSlack      = 50*time.Millisecond + measuringSlack
 	overlapSlack    = 50 * time.Millisecond // in which the proxy notices that a connection was closed
@@ -27,7 +27,7 @@
 	measuringSlack  = 30 * time.Millisecond
 	servedLeast     = 0.3  // of the requests of well-behaved clients: less means that the run shows nothing
 	smallSlowStart  = 30.0 // below this many allowed attempts chance gets more
-	toldOfStartPart = 2.0 / 3
+	informedShare   = 2.0 / 3
 )
 
 // judge returns all violations of a run.
@@ -88,12 +88,12 @@
 
 func judgeAttempts(request *requestRecord, slack time.Duration, violate violateFunc) {
 	for i, attempt := range request.Attempts {
-		left := request.SentAt.Add(request.Timeout).Sub(attempt.FirstByteAt)
-		if request.resentAt.IsZero() && attempt.Told > max(left, 0)+toldSlack+slack {
-			violate("timeout", "attempt %d told %v, of which %v were left", i, attempt.Told, left)
+		remaining := request.SentAt.Add(request.Timeout).Sub(attempt.FirstByteAt)
+		if request.resentAt.IsZero() && attempt.TimeoutGiven > max(remaining, 0)+timeoutSlack+slack {
+			violate("timeout", "attempt %d told %v, of which %v were left", i, attempt.TimeoutGiven, remaining)
 		}
-		if !request.LeftAt.IsZero() && attempt.FirstByteAt.Sub(request.LeftAt) > leftGrace+slack {
-			violate("left", "attempt %d began %v after the client had left", i, attempt.FirstByteAt.Sub(request.LeftAt))
+		if !request.DisconnectedAt.IsZero() && attempt.FirstByteAt.Sub(request.DisconnectedAt) > disconnectGrace+slack {
+			violate("left", "attempt %d began %v after the client had left", i, attempt.FirstByteAt.Sub(request.DisconnectedAt))
 		}
 		if i == 0 {
 			continue
@@ -232,7 +232,7 @@
 				byInformed++
 			}
 		}
-		if byInformed < toldOfStartPart*count {
+		if byInformed < informedShare*count {
 			continue
 		}
 		limit := rules.allowed(begin)
@@ -274,14 +274,14 @@
 	for _, at := range []struct {
 		name string
 		time time.Time
-	}{{"resent", r.resentAt}, {"left", r.LeftAt}, {"answered", r.AnsweredAt}} {
+	}{{"resent", r.resentAt}, {"left", r.DisconnectedAt}, {"answered", r.AnsweredAt}} {
 		if !at.time.IsZero() {
 			fmt.Fprintf(&text, ", %s +%v", at.name, at.time.Sub(r.SentAt).Round(time.Millisecond))
 		}
 	}
 	for _, attempt := range r.Attempts {
 		fmt.Fprintf(&text, ", attempt at server %d +%v to +%v told %v", attempt.Server,
-			attempt.FirstByteAt.Sub(r.SentAt).Round(time.Millisecond), attempt.EndedAt.Sub(r.SentAt).Round(time.Millisecond), attempt.Told)
+			attempt.FirstByteAt.Sub(r.SentAt).Round(time.Millisecond), attempt.EndedAt.Sub(r.SentAt).Round(time.Millisecond), attempt.TimeoutGiven)
 	}
 	for _, executed := range r.Executions {
 		fmt.Fprintf(&text, ", executed by server %d +%v", executed.Server, executed.At.Sub(r.SentAt).Round(time.Millisecond))
--- a/internal/faultsoak/oracle_test.go
+++ b/internal/faultsoak/oracle_test.go
@@ -11,7 +11,7 @@
 func at(ms int) time.Time { return testStart.Add(time.Duration(ms) * time.Millisecond) }
 
 func attemptAt(server, firstByteMS, endedMS int, told time.Duration) *attemptRecord {
-	return &attemptRecord{Server: server, FirstByteAt: at(firstByteMS), LastByteAt: at(firstByteMS), EndedAt: at(endedMS), Told: told}
+	return &attemptRecord{Server: server, FirstByteAt: at(firstByteMS), LastByteAt: at(firstByteMS), EndedAt: at(endedMS), TimeoutGiven: told}
 }
 
 // testRequest is a request that was sent at 0 with a timeout of 1 s, and served.
@@ -50,9 +50,9 @@
 		}, "answer"},
 		"told too much":     {lookupClass, func(r *requestRecord) { r.Attempts[0].FirstByteAt = at(300) }, "timeout"},
 		"told with slack":   {lookupClass, func(r *requestRecord) { r.Attempts[0].FirstByteAt = at(140) }, ""},
-		"after it has left": {lookupClass, func(r *requestRecord) { r.LeftAt, r.Attempts[0].FirstByteAt = at(-200), at(0) }, "left"},
+		"after it has left": {lookupClass, func(r *requestRecord) { r.DisconnectedAt, r.Attempts[0].FirstByteAt = at(-200), at(0) }, "left"},
 		"just after it has left": {lookupClass, func(r *requestRecord) {
-			r.LeftAt, r.Attempts[0].FirstByteAt = at(-90), at(0)
+			r.DisconnectedAt, r.Attempts[0].FirstByteAt = at(-90), at(0)
 		}, ""},
 		"two attempts out": {lookupClass, func(r *requestRecord) {
 			r.Attempts = append(r.Attempts, attemptAt(1, 20, 60, 0))
--- a/internal/faultsoak/proxy.go
+++ b/internal/faultsoak/proxy.go
@@ -125,11 +125,11 @@
 	if request.URL.Path != "/api" {
 		return writeAll(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 	}
-	told, err := strconv.Atoi(request.Header.Get("X-Timeout-Ms"))
+	timeoutMS, err := strconv.Atoi(request.Header.Get("X-Timeout-Ms"))
 	if err != nil {
 		l.records.violate("timeout", request.Header.Get("X-Request-ID"), "the server is told no timeout")
 	}
-	record.Told = time.Duration(told) * time.Millisecond
+	record.TimeoutGiven = time.Duration(timeoutMS) * time.Millisecond
 	l.records.addAttempt(request.Header.Get("X-Request-ID"), record)
 	stopWatch := conn.watchClose(func() { l.records.update(func() { record.EndedAt = time.Now() }) })
 	reusable := l.respond(conn, request, body)
--- a/internal/faultsoak/records.go
+++ b/internal/faultsoak/records.go
@@ -35,28 +35,28 @@
 	Timeout time.Duration
 	SentAt  time.Time // its last byte was written; zero: it never was
 
-	resentAt   time.Time // sent once more, as a close crossed it
-	dueAt      time.Time // the answer, without any grace
-	LeftAt     time.Time // the client closed its connection; zero: it waited
-	AnsweredAt time.Time
-	Status     int
-	Body       string
-	Outcome    outcome
-	Attempts   []*attemptRecord
-	Executions []execution
+	resentAt       time.Time // sent once more, as a close crossed it
+	dueAt          time.Time // the answer, without any grace
+	DisconnectedAt time.Time // the client closed its connection; zero: it waited
+	AnsweredAt     time.Time
+	Status         int
+	Body           string
+	Outcome        outcome
+	Attempts       []*attemptRecord
+	Executions     []execution
 }
 
 // outcome is how a request ended for its client.
 type outcome string
 
 const (
-	outcomePending     outcome = ""
-	outcomeAnswered    outcome = "answered"
-	outcomeUnreachable outcome = "unreachable" // no connection
-	outcomeClosed      outcome = "closed"      // the connection ended without an answer
-	outcomeSilent      outcome = "silent"      // no answer came in time
-	outcomeLeft        outcome = "left"        // by the client
-	outcomeExcused     outcome = "excused"     // the process was killed
+	outcomePending      outcome = ""
+	outcomeAnswered     outcome = "answered"
+	outcomeUnreachable  outcome = "unreachable" // no connection
+	outcomeClosed       outcome = "closed"      // the connection ended without an answer
+	outcomeSilent       outcome = "silent"      // no answer came in time
+	outcomeDisconnected outcome = "left"        // by the client
+	outcomeExcused      outcome = "excused"     // the process was killed
 )
 
 // attemptRecord is one request on a link, as the proxy saw it.
@@ -65,7 +65,7 @@
 	FirstByteAt     time.Time
 	LastByteAt      time.Time
 	EndedAt         time.Time // the response was written, or the sidecar closed its connection; zero: neither
-	Told            time.Duration
+	TimeoutGiven    time.Duration
 }
 
 // execution is one execution of a request by a server.
--- a/internal/sidecar/actions.go
+++ b/internal/sidecar/actions.go
@@ -41,9 +41,9 @@
 	}
 }
 
-// heldUpAllowance is how long the process may be held up between a look at its clock and the write that follows; see the
+// schedulingAllowance is how long the process may be held up between a look at its clock and the write that follows; see the
 // standing test.
-const heldUpAllowance = 150 * time.Millisecond
+const schedulingAllowance = 150 * time.Millisecond
 
 // startAttempt sends a call to a server, on a goroutine of its own.
 func (l *eventLoop) startAttempt(nowMS float64, action *balance.Action) {
@@ -83,7 +83,7 @@
 
 // idempotencyWindowEnd is when servers may forget the idempotency key of a call; the window starts with the earliest
 // attempt that may have been executed. Zero means no bound. The balancer leaves time to connect, but a write may block,
-// or move to a second connection, and the process may be held up before it: heldUpAllowance is taken off.
+// or move to a second connection, and the process may be held up before it: schedulingAllowance is taken off.
 func (l *eventLoop) idempotencyWindowEnd(call *call) (end time.Time) {
 	class := &l.config.settings.Classes[call.request.Class]
 	if class.Idempotency != balance.IdempotentWithKey {
@@ -98,7 +98,7 @@
 		if !(endMS < deadlineMS) { // no bound; it may not even fit into a time.Duration
 			continue
 		}
-		if windowEnd := l.clock.timeAt(endMS).Add(-heldUpAllowance); end.IsZero() || windowEnd.Before(end) {
+		if windowEnd := l.clock.timeAt(endMS).Add(-schedulingAllowance); end.IsZero() || windowEnd.Before(end) {
 			end = windowEnd
 		}
 	}
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -25,8 +25,8 @@
 	// writeMu is held from the final check before the first byte of an attempt until its last byte is written. The
 	// frontend acquires it before it responds, so that nothing is written to a server after the response.
 	writeMu sync.Mutex
-	// begun are the attempts that have begun, in order. writeMu guards it.
-	begun []*attempt
+	// startedAttempts are the attempts that have passed the final check, in order. writeMu guards it.
+	startedAttempts []*attempt
 
 	// The event loop alone uses the fields below.
 	attempts []*attempt
@@ -36,12 +36,12 @@
 // markAnswered reports whether the caller is the one to respond.
 func (c *call) markAnswered() bool { return c.answered.CompareAndSwap(false, true) }
 
-// clientGoneSince returns when the client was seen to have gone.
-func (c *call) clientGoneSince() (since time.Time, gone bool) {
+// clientDisconnectedSince returns when the client was seen to have gone.
+func (c *call) clientDisconnectedSince() (since time.Time, disconnected bool) {
 	if c.client == nil {
 		return since, false
 	}
-	return c.client.goneSince()
+	return c.client.disconnectedSince()
 }
 
 // response is what the client gets.
@@ -70,7 +70,7 @@
 	fullyWritten atomic.Bool // the last byte is written: the server may execute it
 
 	// The write lock of the call guards the fields below; see sendGuard.
-	begunAt         time.Time // the final check before the first byte
+	startedAt       time.Time // the final check before the first byte
 	ended           bool      // its connection is closed, or has carried the complete response
 	mayHaveExecuted bool      // valid once it has ended
 
--- a/internal/sidecar/client_conn.go
+++ b/internal/sidecar/client_conn.go
@@ -47,7 +47,7 @@
 	bodyRemaining  int       // bytes of the active request's body that are not read
 	arrivedAt      time.Time // when the bytes arrived that were read last
 	readErr        error     // set when the client has closed its side: nothing more arrives
-	goneAt         time.Time // when readErr was set
+	disconnectedAt time.Time // when readErr was set
 	unanswered     bool      // a request is read completely and its response is not written
 	writing        bool      // the response is being written
 	writeErr       error     // of the latest response
@@ -83,14 +83,14 @@
 		return
 	}
 	c.readErr = err
-	c.goneAt = time.Now()
+	c.disconnectedAt = time.Now()
 }
 
-// goneSince returns when the client was seen to have closed its side.
-func (c *clientConn) goneSince() (since time.Time, gone bool) {
+// disconnectedSince returns when the client was seen to have closed its side.
+func (c *clientConn) disconnectedSince() (since time.Time, disconnected bool) {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	return c.goneAt, c.readErr != nil
+	return c.disconnectedAt, c.readErr != nil
 }
 
 // setUnanswered records that the connection has a request that is read completely and not answered.
@@ -157,8 +157,8 @@
 	if err := peekRead(c.rawConn); err != nil && !errors.Is(err, syscall.EAGAIN) {
 		return // the client has gone, and nobody has noticed yet
 	}
-	droppedBehind := c.readAhead.size > 0 && c.handled && !c.malformed
-	if c.unanswered || droppedBehind {
+	unservedBehind := c.readAhead.size > 0 && c.handled && !c.malformed
+	if c.unanswered || unservedBehind {
 		c.listener.monitor.violated(invariantEveryRequestAnswered, "client", c.RemoteAddr().String(), "reason", reason.String(),
 			"unanswered", c.unanswered, "read_ahead_bytes", c.readAhead.size)
 	}
@@ -219,8 +219,8 @@
 	return c.arrivedAt
 }
 
-// hasReadAhead reports whether anything was read behind the active request.
-func (c *clientConn) hasReadAhead() bool {
+// readAheadPending reports whether anything was read behind the active request.
+func (c *clientConn) readAheadPending() bool {
 	if c == nil {
 		return false
 	}
--- a/internal/sidecar/client_read.go
+++ b/internal/sidecar/client_read.go
@@ -62,7 +62,7 @@
 	}
 	if c.readAhead.size > 0 {
 		data, arrivedAt := c.readAhead.first(len(p))
-		n = c.take(p, data, arrivedAt)
+		n = c.deliver(p, data, arrivedAt)
 		c.readAhead.discard(n)
 		return n, false, nil
 	}
@@ -84,15 +84,15 @@
 	}
 	data := c.listener.readBuffer[:size]
 	arrivedAt := arrivalTime(fd)
-	n = c.take(p, data, arrivedAt)
+	n = c.deliver(p, data, arrivedAt)
 	if !c.readAhead.append(data[n:], arrivedAt) {
 		c.setReadErr(errPipelineTooLong) // no memory is left for it
 	}
 	return n, false, nil
 }
 
-// take copies bytes to net/http, no more than it may have, and returns how many. The caller holds the lock.
-func (c *clientConn) take(p, data []byte, arrivedAt time.Time) int {
+// deliver copies bytes to net/http, no more than it may have, and returns how many. The caller holds the lock.
+func (c *clientConn) deliver(p, data []byte, arrivedAt time.Time) int {
 	data = data[:min(len(data), len(p))]
 	switch {
 	case c.phase != phaseActive:
--- a/internal/sidecar/conn_pool.go
+++ b/internal/sidecar/conn_pool.go
@@ -154,7 +154,7 @@
 	if err != nil {
 		p.releaseConn()
 		p.guard.monitor.count(upstreamConnDialFailed)
-		if sockets.IsLocal(err) {
+		if sockets.LocalError(err) {
 			err = errNoSocketAvailable // this machine's fault, not the server's
 		}
 		return nil, err
--- a/internal/sidecar/frontend.go
+++ b/internal/sidecar/frontend.go
@@ -128,7 +128,7 @@
 // announceClose has the connection end with this response, in the last phase of a drain. If more requests were read from it
 // they are answered first.
 func (f *frontend) announceClose(w http.ResponseWriter, r *http.Request) {
-	if f.closeAfterResponse.Load() && !clientConnOf(r).hasReadAhead() {
+	if f.closeAfterResponse.Load() && !clientConnOf(r).readAheadPending() {
 		w.Header().Set("Connection", "close")
 	}
 }
--- a/internal/sidecar/idempotency_window_test.go
+++ b/internal/sidecar/idempotency_window_test.go
@@ -110,7 +110,7 @@
 	loop := newEventLoop(config, nil, nil)
 	at := func(ms float64) time.Time { return loop.clock.timeAt(loop.clock.startUnixMS + ms) }
 	// The window less the time for which the process may be held up.
-	endOf := func(ms float64) time.Time { return at(ms).Add(-heldUpAllowance) }
+	endOf := func(ms float64) time.Time { return at(ms).Add(-schedulingAllowance) }
 	attempts := func(neverExecuted ...bool) (list []*attempt) { // 100 ms apart
 		for i, unexecuted := range neverExecuted {
 			list = append(list, &attempt{decidedAtMS: loop.clock.startUnixMS + 100*float64(i), neverExecuted: unexecuted})
--- a/internal/sidecar/send_guard.go
+++ b/internal/sidecar/send_guard.go
@@ -10,17 +10,17 @@
 
 // Reasons why an attempt is not begun after all. Each wraps errObsolete: the server is not to blame.
 var (
-	errCallAnswered    = fmt.Errorf("%w: the call is answered", errObsolete)
-	errWriteTimePassed = fmt.Errorf("%w: its time to be written is over", errObsolete)
-	errClientGone      = fmt.Errorf("%w: the client has gone", errObsolete)
-	errUpstreamRetired = fmt.Errorf("%w: the server is withdrawn", errObsolete)
-	errForbidden       = fmt.Errorf("%w: an invariant forbids it", errObsolete)
+	errCallAnswered       = fmt.Errorf("%w: the call is answered", errObsolete)
+	errWriteTimePassed    = fmt.Errorf("%w: its time to be written is over", errObsolete)
+	errClientDisconnected = fmt.Errorf("%w: the client has gone", errObsolete)
+	errUpstreamRetired    = fmt.Errorf("%w: the server is withdrawn", errObsolete)
+	errForbidden          = fmt.Errorf("%w: an invariant forbids it", errObsolete)
 )
 
 const (
-	// timeoutSlack is by how much the timeout that a server is told may exceed what the client has left: the process may be
+	// timeoutSlack is by how much the timeout that a server gets may exceed what the client has left: the process may be
 	// held up between reading its clock and writing.
-	timeoutSlack = heldUpAllowance
+	timeoutSlack = schedulingAllowance
 	// disconnectGrace is how long after a client has gone an attempt may still begin.
 	disconnectGrace = 100 * time.Millisecond
 )
@@ -44,9 +44,9 @@
 	case a.upstream.retired.Load():
 		return errUpstreamRetired
 	case call.client != nil && call.client.disconnectErr() != nil:
-		return errClientGone
+		return errClientDisconnected
 	}
-	for _, earlier := range call.begun {
+	for _, earlier := range call.startedAttempts {
 		if earlier == a {
 			continue
 		}
@@ -59,8 +59,8 @@
 			return errForbidden
 		}
 	}
-	if len(call.begun) == 0 || call.begun[len(call.begun)-1] != a {
-		call.begun = append(call.begun, a)
+	if len(call.startedAttempts) == 0 || call.startedAttempts[len(call.startedAttempts)-1] != a {
+		call.startedAttempts = append(call.startedAttempts, a)
 	}
 	return nil
 }
@@ -85,18 +85,18 @@
 	return true
 }
 
-// written checks, once a request is completely written, that nothing has changed meanwhile which forbade it. told is the
-// timeout that the server got.
-func (g sendGuard) written(a *attempt, told time.Duration, now time.Time) {
+// written checks, once a request is completely written, that nothing has changed meanwhile which forbade it. timeout is
+// what the server was given.
+func (g sendGuard) written(a *attempt, timeout time.Duration, now time.Time) {
 	call := a.call
 	if call.responded.Load() {
 		g.monitor.violated(invariantNothingAfterAnswer, "request", call.clientID, "attempt", a.number)
 	}
-	if left := call.deadline.Sub(now); told > left+timeoutSlack {
-		g.monitor.violated(invariantTimeoutPassed, "request", call.clientID, "attempt", a.number, "told", told, "left", left)
+	if remaining := call.deadline.Sub(now); timeout > remaining+timeoutSlack {
+		g.monitor.violated(invariantTimeoutPassed, "request", call.clientID, "attempt", a.number, "timeout", timeout, "remaining", remaining)
 	}
-	if since, gone := call.clientGoneSince(); gone && a.begunAt.Sub(since) > disconnectGrace {
-		g.monitor.violated(invariantNothingAfterDisconnect, "request", call.clientID, "attempt", a.number, "after", a.begunAt.Sub(since))
+	if since, disconnected := call.clientDisconnectedSince(); disconnected && a.startedAt.Sub(since) > disconnectGrace {
+		g.monitor.violated(invariantNothingAfterDisconnect, "request", call.clientID, "attempt", a.number, "after", a.startedAt.Sub(since))
 	}
 }
 
--- a/internal/sidecar/send_guard_test.go
+++ b/internal/sidecar/send_guard_test.go
@@ -34,7 +34,7 @@
 			request := &call{deadline: time.Now().Add(testTimeout), class: &balance.Class{Idempotency: test.idempotency, DeduplicationScope: test.scope}}
 			earlier := &attempt{call: request, upstream: &upstreamHost{zone: "a", cell: 1}, ended: true, mayHaveExecuted: true}
 			test.earlier(earlier)
-			request.begun = []*attempt{earlier}
+			request.startedAttempts = []*attempt{earlier}
 			next := &attempt{call: request, number: 1, upstream: &upstreamHost{zone: "a", cell: 1}, deadline: request.deadline}
 			err := guard.admit(next, time.Now())
 			if !errors.Is(err, test.want) || err != nil && !errors.Is(err, errObsolete) {
@@ -52,7 +52,7 @@
 func TestGuardCountsWhatWasWrittenWrongly(t *testing.T) {
 	guard := sendGuard{&monitor{}}
 	request := &call{deadline: time.Now().Add(time.Second)}
-	late := &attempt{call: request, begunAt: time.Now()}
+	late := &attempt{call: request, startedAt: time.Now()}
 	guard.written(late, time.Second, time.Now())
 	if got := guard.monitor.totalViolations(); got != 0 {
 		t.Fatalf("%d violations of an attempt that broke nothing", got)
--- a/internal/sidecar/trace.go
+++ b/internal/sidecar/trace.go
@@ -34,10 +34,10 @@
 		"server", decided.upstream.address, "after", reason)
 }
 
-func traceWritten(written *attempt, told time.Duration, reused bool) {
+func traceWritten(written *attempt, timeout time.Duration, reused bool) {
 	if traceEnabled() {
 		traceLog.Debug("attempt written", "request", written.call.clientID, "attempt", written.number,
-			"server", written.upstream.address, "told", told, "reused", reused)
+			"server", written.upstream.address, "timeout", timeout, "reused", reused)
 	}
 }
 
--- a/internal/sidecar/upstream_exchange.go
+++ b/internal/sidecar/upstream_exchange.go
@@ -144,8 +144,8 @@
 	if attempt != nil {
 		attempt.call.writeMu.Lock()
 		defer attempt.call.writeMu.Unlock()
-		attempt.begunAt = time.Now()
-		if err := guard.admit(attempt, attempt.begunAt); err != nil {
+		attempt.startedAt = time.Now()
+		if err := guard.admit(attempt, attempt.startedAt); err != nil {
 			return false, err
 		}
 	}
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -36,13 +36,13 @@
 
 // AcceptErrorLasts reports whether a listener that has returned an error cannot be used any more.
 func AcceptErrorLasts(err error) bool {
-	return errors.Is(err, net.ErrClosed) || !errors.As(err, new(syscall.Errno)) || isErrno(err, lastingAcceptErrors)
+	return errors.Is(err, net.ErrClosed) || !errors.As(err, new(syscall.Errno)) || matchesErrno(err, lastingAcceptErrors)
 }
 
-// IsLocal reports whether an error means that this machine lacked something for a moment.
-func IsLocal(err error) bool { return isErrno(err, localErrors) }
+// LocalError reports whether an error means that this machine lacked something for a moment.
+func LocalError(err error) bool { return matchesErrno(err, localErrors) }
 
-func isErrno(err error, errnos []syscall.Errno) bool {
+func matchesErrno(err error, errnos []syscall.Errno) bool {
 	var errno syscall.Errno
 	return errors.As(err, &errno) && slices.Contains(errnos, errno)
 }
@@ -62,7 +62,7 @@
 	var pause Pause
 	for deadline := time.Now().Add(retryTime); ; time.Sleep(pause.Next()) {
 		err := call()
-		if err == nil || !IsLocal(err) || time.Now().After(deadline) {
+		if err == nil || !LocalError(err) || time.Now().After(deadline) {
 			return err
 		}
 	}
