Soak: two data races of its own

Cause: the race detector on the short soak, five times: a client's connection was given back before a field of it was written, and a goroutine of the proxy read the channel of the next request. Change: the order, and a copy.

--- a/internal/faultsoak/clients.go
+++ b/internal/faultsoak/clients.go
@@ -239,12 +239,12 @@
 		record.Outcome, record.AnsweredAt = outcomeAnswered, time.Now()
 		record.Status, record.Body = response.StatusCode, string(body)
 	})
+	conn.closing = response.Close
 	if response.Close {
 		conn.Close()
 	} else if record.Kind != "pipelined" {
-		c.release(conn)
+		c.release(conn) // last: another client may use it from now on
 	}
-	conn.closing = response.Close
 	return nil
 }
 
--- a/internal/faultsoak/proxy.go
+++ b/internal/faultsoak/proxy.go
@@ -210,9 +210,10 @@
 	defer backend.Close()
 	finished := make(chan struct{})
 	defer close(finished)
+	closed := conn.closed // of this request: the next has its own
 	go func() {
 		select {
-		case <-conn.closed:
+		case <-closed:
 		case <-l.ctx.Done():
 		case <-finished:
 		}
