Slow start: the budget is a part of the pool that gave the answers, without key affinity too

Cause: a server's budget is its part of this sidecar's answers, and the sum of weights that it was a part of fell with the servers in slow start, with the health of overloaded servers and with ejected ones, though these had given the answers; tokens counted from before the server was in the rotation; answers lag behind traffic that falls. The bound that holds with key affinity compared weights over time. Excluded by counters: requests without a server (87 of 3,329 picks a second), discarded tokens (151 of 702 a second).

Why this mend holds: the sum is of capacities over the servers that the answers came from, and over time only its usable fraction is compared, which no learned scale changes. The moving average no longer counts the time before its first value as 0.

TestAssumedAnswersGiveNoSlowStartBudget put answers into a meter that no request had asked for; as answers now count up to the rate of requests, it sends the 400 requests, with the same bounds.

--- a/balance/capacity.go
+++ b/balance/capacity.go
@@ -15,14 +15,18 @@
 	initialLearningBoost = 24   // factor of the first steps: a sidecar that restarted knows no capacity
 	maxLogCapacity       = 2.5  // bound of each learned logarithm
 	utilizationGain      = 2    // effect of a utilization below the mean, beside that of latency
-	recentPoolMargin     = 1.15 // how far the budget of slow start may exceed what the recent weights give
+	recentPoolMargin     = 1.15 // how far the budget of slow start may exceed what the recent pool gives
 )
 
 // weight is capacity × health, lowered in slow start.
 func (b *Balancer) weight(s *server) float64 {
+	return math.Max(b.capacityWeight(s)*b.health(s)*b.slowStartFactor(s), minWeight)
+}
+
+// capacityWeight is the weight of a server in good health after its slow start.
+func (b *Balancer) capacityWeight(s *server) float64 {
 	logCapacity := s.logCapacity + b.capacity.byKind[s.Kind] + b.capacity.byZone[s.Zone]
-	capacity := baseWeight * s.RelativeCapacity * math.Exp(logCapacity)
-	return math.Max(capacity*b.health(s)*b.slowStartFactor(s), minWeight)
+	return baseWeight * s.RelativeCapacity * math.Exp(logCapacity)
 }
 
 // groupFactor is what the weights of the servers of one kind and zone have in common.
@@ -56,21 +60,22 @@
 // hasSlowStartBudget limits the attempts at a server in slow start, retries included: to half of the allowed
 // multiple of the answers that a server of its size gives to this sidecar, lowered by its slow start factor,
 // so that all sidecars together stay below the allowed multiple. Answers count, not requests, which clients
-// repeat, and few are assumed. Where many servers are in slow start the weights fall sooner than the answers,
-// so the recent ones bound them. Tokens are not saved up for long: what all sidecars had saved in a quiet
-// time would come in one burst.
+// repeat, and few are assumed; but answers lag behind traffic that falls. Where many servers are in slow
+// start the pool falls sooner than the answers, so what it was of late bounds it. Tokens are not saved up for
+// long: what all sidecars had saved in a quiet time would come in one burst.
 func (b *Balancer) hasSlowStartBudget(s *server) bool {
-	recentPool := math.Min(b.pool.recent.mean, b.fullCapacityPoolWeight()) / recentPoolMargin
-	poolWeight := max(b.pool.current, recentPool, s.weight)
-	refillRate := b.answerRate(1) * s.weight / poolWeight * math.Max(1, b.config.OverloadMultiple/2)
+	pool := &b.pool.slowStart
+	poolWeight := max(pool.usable, pool.answeringWeight()/recentPoolMargin, s.weight)
+	servedRate := math.Min(b.answerRate(1), b.requestRate())
+	refillRate := servedRate * s.weight / poolWeight * math.Max(1, b.config.OverloadMultiple/2)
 	budget := refillRate * b.config.OverloadDuration / 2
-	scarce := b.config.KeyAffinity && budget < 0.5 // a token at each sidecar would be too many
+	scarce := budget < 0.5 // a token at each sidecar would be too many
 	maxTokens := math.Max(1, budget/2)
 	if scarce {
 		maxTokens = 1 + budget
 	}
 	state := &s.slowStart
-	state.tokens = math.Min(state.tokens+refillRate*(b.now-state.tokensAt), maxTokens)
+	state.tokens = math.Min(state.tokens+refillRate*(b.now-b.tokensSince(s)), maxTokens)
 	state.tokensAt = b.now
 	if scarce && state.tokens == maxTokens {
 		state.tokens--
@@ -78,9 +83,19 @@
 	return state.tokens >= 1
 }
 
+// tokensSince is from when a server in slow start has earned tokens: a rotation that it enters did not count
+// it before.
+func (b *Balancer) tokensSince(s *server) float64 {
+	if b.config.KeyAffinity {
+		return s.slowStart.tokensAt
+	}
+	return math.Max(s.slowStart.tokensAt, b.pool.slowStart.lastPickedAt)
+}
+
 // beginSlowStart begins with a random budget, so that the first attempts of all sidecars do not coincide.
 func (b *Balancer) beginSlowStart(s *server, since float64) {
 	s.slowStart = slowStartState{since: since, tokens: b.random(), tokensAt: b.now}
+	b.pool.slowStart.endsAt = math.Max(b.pool.slowStart.endsAt, since+b.config.SlowStartDuration)
 }
 
 // learnCapacity moves capacities until answers take equally long everywhere. What all servers have in common
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -109,9 +109,15 @@
 	totalWeight, anyReport, remaining := 0.0, false, b.rotationSize()
 	// The own zone is preferred by the order, or by weight where all servers are used.
 	zoneFactor := 1 + (b.ownZoneFactor()-1)*math.Min(1, float64(remaining)/float64(len(b.servers)))
-	b.selection.candidates = b.selection.candidates[:0]
+	b.selection.candidates, b.selection.pool = b.selection.candidates[:0], poolSums{}
 	for _, s := range b.servers {
-		if remaining == 0 || !b.permitted(r, s) || !includeEjected && b.isEjected(s) {
+		if remaining == 0 {
+			break
+		}
+		if !b.config.KeyAffinity {
+			b.addToPool(&b.selection.pool, s, zoneFactor)
+		}
+		if !b.permitted(r, s) || !includeEjected && b.isEjected(s) {
 			continue
 		}
 		remaining--
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -1,37 +1,83 @@
 package balance
 
-// fullCapacityWeightTTL is for how long fullCapacityPoolWeight is cached: it goes over all servers while any of them is in
-// slow start, and requests come hundreds of times a second.
-const fullCapacityWeightTTL = 100
+import "math"
 
-// poolWeights are sums of the weights that a first attempt chooses from. The budget of servers in slow start is a part
-// of them.
+// With key affinity the slow start pool is all servers, and requests come hundreds of times a second: its sums are cached for
+// so long, in ms.
+const (
+	poolTTL          = 1000
+	poolSlowStartTTL = 100 // while any server is in slow start
+)
+
+// poolWeights are sums of the weights that a first attempt chooses from.
 type poolWeights struct {
-	current        float64 // at the last first attempt
-	recent         ewma    // at the last ones, over the span of the answer rate
-	fullCapacity   float64 // as if no server were in slow start; see fullCapacityPoolWeight
-	fullCapacityAt float64 // when that was computed
+	current   float64 // at the last first attempt
+	slowStart slowStartPool
+}
+
+// slowStartPool is what a server's share of the answers is taken of for its budget in slow start: without key affinity the
+// servers of this sidecar's own order up to the last of its rotation, ejected and excluded ones included, else all ready
+// servers. A sidecar that passes over a server uses one more behind it, so each of those is in the rotation of more sidecars.
+// Health does not count: the answers of overloaded servers do not fall as far as their health.
+type slowStartPool struct {
+	poolSums
+	updatedAt      float64
+	usableFraction ewma    // over the span of the answer rate
+	endsAt         float64 // when no server is in slow start any more
+	pickedAt       float64 // the last first attempt
+	lastPickedAt   float64 // the one before
+}
+
+// poolSums are sums of weights of servers in good health.
+type poolSums struct {
+	full   float64 // as if none were in slow start
+	usable float64 // what is neither ejected nor missing because of a slow start
+}
+
+// addToPool counts a server, unless it is draining; zoneFactor is the preference of the own zone.
+func (b *Balancer) addToPool(sums *poolSums, s *server, zoneFactor float64) {
+	if s.State != Ready {
+		return
+	}
+	full := b.capacityWeight(s)
+	if b.inOwnZone(s) {
+		full *= zoneFactor
+	}
+	sums.full += full
+	if !b.isEjected(s) {
+		sums.usable += full * b.slowStartFactor(s)
+	}
 }
 
-// fullCapacityPoolWeight is the sum of the weights of the servers in use as if none of them were in slow start. It is 0
-// without key affinity: there a rotation grows with the traffic, and its recent weight does not compare with the present.
-func (b *Balancer) fullCapacityPoolWeight() float64 {
-	if !b.config.KeyAffinity {
-		return 0
+// recordPool records what a first attempt chooses from; totalWeight is without excluded servers.
+func (b *Balancer) recordPool(totalWeight float64) {
+	b.pool.current = totalWeight + b.selection.excluded.weight
+	pool := &b.pool.slowStart
+	pool.lastPickedAt, pool.pickedAt = pool.pickedAt, b.now
+	if b.config.KeyAffinity {
+		b.refreshPool()
+	} else {
+		pool.poolSums = b.selection.pool
 	}
-	if b.now < b.pool.fullCapacityAt+fullCapacityWeightTTL {
-		return b.pool.fullCapacity
+	pool.usableFraction.add(b.now, answerRateSpan*b.longestObjective, pool.usable/math.Max(pool.full, minWeight))
+}
+
+// refreshPool sums up all servers, unless that was done lately.
+func (b *Balancer) refreshPool() {
+	pool, ttl := &b.pool.slowStart, float64(poolTTL)
+	if b.now < pool.endsAt {
+		ttl = poolSlowStartTTL
+	}
+	if pool.full > 0 && b.now < pool.updatedAt+ttl {
+		return
 	}
-	b.pool.fullCapacity, b.pool.fullCapacityAt = 0, b.now
+	pool.poolSums, pool.updatedAt = poolSums{}, b.now
+	zoneFactor := b.ownZoneFactor()
 	for _, s := range b.servers {
-		if s.State != Ready || b.isEjected(s) {
-			continue
-		}
-		weight := b.weight(s) / b.slowStartFactor(s)
-		if b.inOwnZone(s) {
-			weight *= b.ownZoneFactor()
-		}
-		b.pool.fullCapacity += weight
+		b.addToPool(&pool.poolSums, s, zoneFactor)
 	}
-	return b.pool.fullCapacity
 }
+
+// answeringWeight is the part of the pool that gave the answers of the answer rate, by the present scale of weights. Over time
+// only fractions compare: the learned capacities of all servers rise and fall together.
+func (p *slowStartPool) answeringWeight() float64 { return p.full * p.usableFraction.mean }
--- a/balance/reference_pick_test.go
+++ b/balance/reference_pick_test.go
@@ -36,15 +36,14 @@
 	}
 	choices, byKey := b.selection.candidates, !retry && r.Key != 0
 	if !retry {
-		b.pool.current = totalWeight
 		b.selection.round++
 		for _, s := range b.selection.excluded.servers {
 			s.round.creditedUpTo++
 			if s.inRotation {
-				b.pool.current += b.referenceWeight(s)
+				b.selection.excluded.weight += b.referenceWeight(s)
 			}
 		}
-		b.pool.recent.add(b.now, answerRateSpan*b.longestObjective, b.pool.current)
+		b.recordPool(totalWeight)
 	}
 	for _, s := range b.selection.candidates {
 		if allEjected && !retry {
--- a/balance/round.go
+++ b/balance/round.go
@@ -37,8 +37,7 @@
 
 // beginRound begins a round of the weighted round robin: a first attempt. Excluded servers get no credit for it.
 func (b *Balancer) beginRound(totalWeight float64) {
-	b.pool.current = totalWeight + b.selection.excluded.weight
-	b.pool.recent.add(b.now, answerRateSpan*b.longestObjective, b.pool.current)
+	b.recordPool(totalWeight)
 	b.selection.round++
 	for _, s := range b.selection.excluded.servers {
 		s.round.creditedUpTo++
--- a/balance/selection.go
+++ b/balance/selection.go
@@ -6,6 +6,7 @@
 	candidates   []*server       // servers looked at in the current pick
 	allEjected   bool            // in the current pick: all servers are ejected, so all are candidates
 	excluded     excludedServers // from the current pick, by the placement
+	pool         poolSums        // of the current pick; without key affinity only
 	loadReported bool            // in the current pick: the load is known from fresh load reports
 
 	// Bounded load: a server may hold headroom × load × its weight / weight.
--- a/balance/slow_start_budget_test.go
+++ b/balance/slow_start_budget_test.go
@@ -84,7 +84,8 @@
 		t.Fatalf("%.2f sends in two seconds", s.slowStart.tokens)
 	}
 	for range 400 { // a sidecar with two hundred answers a second may send its part
-		h.balancer.admission.answers.add(h.now, answerRateSpan*h.balancer.longestObjective)
+		id, _ := h.request(idempotentClass)
+		h.finishAttempt(id, 0, OK, 0)
 	}
 	s.slowStart.tokens, s.slowStart.tokensAt = 0, h.now-2000
 	if h.balancer.hasSlowStartBudget(s); s.slowStart.tokens < 0.5 {
--- a/balance/slow_start_test.go
+++ b/balance/slow_start_test.go
@@ -197,6 +197,17 @@
 
 // The same without key affinity, in large fleets as well: there a sidecar's rotation grows with its traffic, and a sidecar of
 // a large fleet visits each server so seldom that it has budget for it most of the time.
+//
+// It failed in 23 of its cases, the worst with 2.64 times what is allowed. A server's budget is its part of this sidecar's
+// answers, and four things made that part too large: the sum that it was taken of fell with the servers in slow start, so that
+// each kept a whole share when all were replaced; it fell again with the health of the overloaded servers, and with those that
+// were ejected, though they had given the answers; a server that came into the rotation brought the tokens of the time before;
+// and the answers lagged behind traffic that had fallen. Where all of 60 servers were replaced under 300 sidecars these sent
+// 34,528 attempts in 12 s, in the worst window 1.86 times those allowed; now they send 19,417 and 0.51 times, and serve 0.37,
+// 0.58, 0.77 and 0.86 of the requests in turns of 3 s in place of 0.42, 0.62, 0.82 and 0.96. The bound that holds with key
+// affinity did not do: it compares weights over time, and the learned capacities of all servers rise and fall together. In
+// clinic-results the sums of weights of restarted sidecars fell to a tenth within ten seconds, and 91 servers that were warm
+// by then were sent 570 attempts a second for five seconds, while the other 91 were choked.
 func TestSlowStartBudgetHoldsWithoutKeyAffinity(t *testing.T) {
 	for _, size := range [][2]int{{20, 12}, {30, 20}, {300, 60}} {
 		for name, play := range slowStartScenarios {
--- a/balance/stats.go
+++ b/balance/stats.go
@@ -82,11 +82,16 @@
 	return (m.count*math.Exp((m.updatedAt-now)/span)/counted + assumed) / span
 }
 
-// ewma is an exponentially weighted moving average over time.
-type ewma struct{ mean, updatedAt float64 }
+// ewma is an exponentially weighted moving average over time. The time before the first value does not count.
+type ewma struct{ mean, startedAt, updatedAt float64 }
 
 func (e *ewma) add(now, span, value float64) {
-	e.mean += (value - e.mean) * -math.Expm1((e.updatedAt-now)/span)
+	switch {
+	case e.startedAt == 0:
+		e.mean, e.startedAt = value, now
+	case now > e.updatedAt:
+		e.mean += (value - e.mean) * math.Expm1((e.updatedAt-now)/span) / math.Expm1((e.startedAt-now)/span)
+	}
 	e.updatedAt = now
 }
 
