Registry: a replica answers reads with 503 until it has caught up since its start

What callers saw: after all replicas had restarted together a sidecar had no servers for a moment and rejected everything; beside load this failed TestControlPlaneDownUnderLoad.

Where a second replica had just started too it confirmed the empty list to the agent ("registry epoch changed, as after a restore epoch=0 revision=0").

Why this mend holds: the replica asks an established leader for what it has applied, and answers reads once it has applied that itself, or leads.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -70,8 +70,12 @@
 	metrics   metrics
 }
 
-// errReplicaStale ends the watch of a replica that lags behind.
-var errReplicaStale = errors.New("the replica's state is out of date")
+var (
+	// errReplicaStale ends the watch of a replica that lags behind.
+	errReplicaStale = errors.New("the replica's state is out of date")
+	// errReplicaUnready ends the watch of a replica that does not know the state yet.
+	errReplicaUnready = errors.New("the replica has just started and knows no state yet")
+)
 
 // Start starts an agent. It returns once the agent listens, with the saved list and placement if there are any.
 func Start(opts Options) (*Agent, error) {
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"milldeck/internal/lab/proc/proctest"
@@ -105,3 +106,37 @@
 		})
 	}
 }
+
+// A replica that has no epoch knows no list: it has just started. An agent keeps the last good list whatever such replicas send,
+// also where two agree, and serves none where it had none.
+func TestUnknownListIsNotServed(t *testing.T) {
+	for name, cached := range map[string]int{"with a list": 3, "without a list": 0} {
+		t.Run(name, func(t *testing.T) {
+			block := proctest.Block(t)
+			path := filepath.Join(t.TempDir(), "list")
+			if cached > 0 {
+				list := instanceList{maxLossFraction: 0.5}
+				list.merge(newList(5, 9, true, "a", "b", "c"), false)
+				data, err := list.encode()
+				if err == nil {
+					err = writeStateFile(path, data)
+				}
+				if err != nil {
+					t.Fatal(err)
+				}
+			}
+			replicas := []string{block.Addr(200, 0, 8500), block.Addr(200, 1, 8500)}
+			var requests atomic.Int64
+			for _, address := range replicas {
+				serve := serveStatic(newList(0, 0, true))
+				serveHTTP(t, address, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { requests.Add(1); serve(w, r) }))
+			}
+			agent := startAgent(t, Options{Listen: block.Addr(201, 0, 8500), Replicas: replicas, ListFile: path, FleetSize: 1})
+			// With the sixth request both replicas have answered, and a confirmation would have been applied.
+			waitFor(t, "both replicas were asked more than once", func() bool { return requests.Load() >= 6 })
+			if served := servedList(t, agent); len(served.Targets) != cached || agent.listKnown.Load() != (cached > 0) {
+				t.Errorf("it serves %d instances, list known %v; want %d", len(served.Targets), agent.listKnown.Load(), cached)
+			}
+		})
+	}
+}
--- a/internal/agent/instance_list.go
+++ b/internal/agent/instance_list.go
@@ -17,6 +17,7 @@
 	listApplied       mergeResult = iota
 	listOutdated                  // it is older than what is known
 	listDiscontinuous             // a change that does not continue what is known: the full list has to be fetched
+	listUnknown                   // the replica has no epoch: it has just started, and knows no list
 	listUnconfirmed               // it removes most ready instances, or begins another epoch: a second replica has to confirm it
 )
 
@@ -46,6 +47,8 @@
 func (l *instanceList) merge(received *registry.EndpointList, confirmed bool) (mergeResult, listChanges) {
 	sameEpoch := received.Epoch == l.epoch
 	switch {
+	case received.Epoch == 0:
+		return listUnknown, listChanges{}
 	case l.known() && sameEpoch && (received.Revision < l.revision || received.Revision == l.revision && !received.Complete):
 		return listOutdated, listChanges{}
 	case !received.Complete && (!l.known() || !sameEpoch):
--- a/internal/agent/list_sync.go
+++ b/internal/agent/list_sync.go
@@ -89,6 +89,9 @@
 	if err != nil || result == listApplied || result == listOutdated {
 		return err
 	}
+	if result == listUnknown {
+		return errReplicaUnready
+	}
 	replicas := a.opts.Replicas
 	if result == listUnconfirmed {
 		a.metrics.unconfirmedLists.Inc()
--- a/internal/agent/placement_sync.go
+++ b/internal/agent/placement_sync.go
@@ -21,6 +21,9 @@
 		revision, epoch := a.placement.position()
 		return a.client.WatchPlacement(ctx, replica, revision, epoch, func(update *placement.Update, age time.Duration) error {
 			if update != nil {
+				if update.Epoch == 0 {
+					return errReplicaUnready
+				}
 				stale := a.replicaStale(age)
 				if stale && revision != 0 && update.Epoch != epoch {
 					return errReplicaStale // it may have missed that the epoch it serves has ended
--- a/internal/registry/http_admin.go
+++ b/internal/registry/http_admin.go
@@ -53,9 +53,9 @@
 	Ready bool `json:"ready"`
 }
 
-// serveReady answers whether the replica knows a leader, so that its reads are recent.
+// serveReady answers whether the replica has caught up since it started and knows a leader, so that its reads are recent.
 func (r *Replica) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if status := r.status(); status.Leader == "" || status.Epoch == 0 {
+	if !r.stateKnown.Load() || r.leaderAddr() == "" {
 		writeError(w, http.StatusServiceUnavailable, errors.New("no leader yet"))
 		return
 	}
--- a/internal/registry/leadership.go
+++ b/internal/registry/leadership.go
@@ -46,11 +46,13 @@
 	r.logger.Info("leadership established", "http", r.options.HTTPAddr)
 	epoch := uint64(0)
 	r.hub.Read(func(state *StateMachine) { epoch = state.Epoch() })
-	if epoch != 0 {
-		return nil
+	if epoch == 0 {
+		if _, err := r.propose(&Record{Op: OpEpoch, Epoch: newEpoch()}); err != nil {
+			return err
+		}
 	}
-	_, err := r.propose(&Record{Op: OpEpoch, Epoch: newEpoch()})
-	return err
+	r.stateKnown.Store(true)
+	return nil
 }
 
 // resetTrackers grants every lease its full time again.
--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -80,6 +80,7 @@
 	listener   net.Listener
 	httpServer *http.Server
 	watchers   atomic.Int64
+	stateKnown atomic.Bool // see catchUp
 
 	// Used by the leader only.
 	isLeader             atomic.Bool  // the leadership is established: earlier records are applied
@@ -123,6 +124,7 @@
 		}
 	})
 	replica.goroutines.Go(replica.monitorLeadership)
+	replica.goroutines.Go(replica.catchUp)
 	return replica, nil
 }
 
