Registry: a check of the leadership counts from its beginning, also in reads and at its start

What callers saw: a leader that was held up right after checking its leadership called its state new, and could renew registrations for up to a second longer than it should; nobody had observed it in service.

Cause: ensureFresh noted the time after its check, and establishLeadership after its barrier. A check proves nothing of the time after it began.

Why this mend holds: all three checks record when they began, by one function that never goes back. A replica that has just started also compares the list's revision with the leader's, as raft's applied index counts what it has only handed over, and is not stuck when a backup is restored meanwhile.

--- a/internal/registry/catch_up.go
+++ b/internal/registry/catch_up.go
@@ -41,34 +41,44 @@
 	defer client.Close()
 	ticker := time.NewTicker(catchUpInterval)
 	defer ticker.Stop()
-	required := uint64(0) // index that has to be applied; 0: the leader has not been asked
+	var leader Status // as it answered; zero: it has not yet
 	for !r.stateKnown.Load() {
 		select {
 		case <-r.ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		if required == 0 {
-			required = r.leaderAppliedIndex(client)
+		if leader.Epoch == 0 {
+			leader = r.leaderStatus(client)
 		}
-		if required > 0 && r.raft.AppliedIndex() >= required {
+		if leader.Epoch != 0 && r.caughtUpWith(&leader) {
 			r.stateKnown.Store(true)
 		}
 	}
 	r.logger.Info("state known", "applied", r.raft.AppliedIndex())
 }
 
-// leaderAppliedIndex asks the leader what it has applied; 0 if there is none that has verified its leadership.
-func (r *Replica) leaderAppliedIndex(client *Client) uint64 {
+// caughtUpWith reports whether this replica has applied what a leader had. The index alone does not say so: raft counts what it
+// has handed over.
+func (r *Replica) caughtUpWith(leader *Status) bool {
+	status := r.status()
+	if status.Epoch != leader.Epoch {
+		return status.Revision > leader.AppliedIndex // a backup has been restored since: revisions are indices of the log
+	}
+	return status.AppliedIndex >= leader.AppliedIndex && status.Revision >= leader.Revision
+}
+
+// leaderStatus asks the leader for its status; it is zero if there is none that has verified its leadership.
+func (r *Replica) leaderStatus(client *Client) Status {
 	leader := r.leaderAddr()
 	if leader == "" || leader == r.options.HTTPAddr {
-		return 0
+		return Status{}
 	}
 	ctx, cancel := context.WithTimeout(r.ctx, catchUpRequestTimeout)
 	defer cancel()
 	status, err := client.ReplicaStatus(ctx, leader)
-	if err != nil || !status.Fresh || status.Epoch == 0 {
-		return 0
+	if err != nil || !status.Fresh {
+		return Status{}
 	}
-	return status.AppliedIndex
+	return status
 }
--- a/internal/registry/http_read.go
+++ b/internal/registry/http_read.go
@@ -27,14 +27,23 @@
 	}
 	ctx, cancel := context.WithTimeout(request.Context(), applyTimeout)
 	defer cancel()
-	if err := r.awaitReadIndex(ctx); err != nil {
+	if err := r.verifyFreshness(ctx); err != nil {
 		r.writeNoLeader(w)
 		return false
 	}
-	r.verifiedAt.Store(int64(r.uptime()))
 	return true
 }
 
+// verifyFreshness waits until this leader may answer a linearizable read, and records since when that holds.
+func (r *Replica) verifyFreshness(ctx context.Context) error {
+	startedAt := r.uptime()
+	if err := r.awaitReadIndex(ctx); err != nil {
+		return err
+	}
+	r.recordVerified(startedAt)
+	return nil
+}
+
 // serveList answers with the endpoint list, or streams its changes.
 func (r *Replica) serveList(w http.ResponseWriter, request *http.Request) {
 	if request.URL.Query().Get("watch") != "" {
--- a/internal/registry/leadership.go
+++ b/internal/registry/leadership.go
@@ -35,10 +35,11 @@
 
 // establishLeadership waits until the records of earlier leaders are applied, and grants every lease its full time again.
 func (r *Replica) establishLeadership() error {
+	startedAt := r.uptime()
 	if err := r.raft.Barrier(applyTimeout).Error(); err != nil {
 		return err
 	}
-	r.verifiedAt.Store(int64(r.uptime()))
+	r.recordVerified(startedAt)
 	r.resetTrackers()
 	r.warmUps = newWarmUpTracker(r.options.WarmUpDuration)
 	r.isLeader.Store(true)
@@ -88,11 +89,11 @@
 				return
 			}
 		case <-verify.C:
-			verifyStarted := r.uptime() // the verification proves the leadership of this time
-			if r.raft.VerifyLeader().Error() != nil {
+			startedAt := r.uptime()
+			if r.verifyLeader() != nil {
 				return
 			}
-			r.verifiedAt.Store(int64(verifyStarted))
+			r.recordVerified(startedAt)
 		case <-sweep.C:
 			r.expireInstances()
 			r.expireLeases()
@@ -103,6 +104,17 @@
 	}
 }
 
+// recordVerified records that this replica led at the given uptime. That is when a check of it began: the check proves nothing of
+// the time after, in which the replica may be held up while another is elected.
+func (r *Replica) recordVerified(startedAt time.Duration) {
+	for {
+		last := r.verifiedAt.Load()
+		if int64(startedAt) <= last || r.verifiedAt.CompareAndSwap(last, int64(startedAt)) {
+			return
+		}
+	}
+}
+
 // expireInstances expires the registrations whose leases have ended, or holds the expiry back where too many are missing
 // at once.
 func (r *Replica) expireInstances() {
--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -83,6 +83,7 @@
 	stateKnown atomic.Bool // see catchUp
 
 	// Used by the leader only.
+	verifyLeader         func() error // asks a majority whether this replica still leads; tests hold it up
 	isLeader             atomic.Bool  // the leadership is established: earlier records are applied
 	verifiedAt           atomic.Int64 // uptime, in ns, at which the leadership was last verified
 	registrations        *registrationTracker
@@ -140,6 +141,7 @@
 		startedAt:            time.Now(),
 		fatal:                make(chan error, 1),
 	}
+	replica.verifyLeader = func() error { return replica.raft.VerifyLeader().Error() }
 	replica.metrics = newMetrics(replica)
 	replica.ctx, replica.cancel = context.WithCancel(context.Background())
 	return replica
@@ -257,7 +259,7 @@
 		return ErrNotLeader
 	}
 	commitIndex := r.raft.CommitIndex()
-	if err := r.raft.VerifyLeader().Error(); err != nil {
+	if err := r.verifyLeader(); err != nil {
 		return fmt.Errorf("%w: %w", ErrNotLeader, err)
 	}
 	for r.raft.AppliedIndex() < commitIndex {
