--- /dev/null
+++ b/internal/knownred/knownred_test.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"strings"
+	"testing"
+)
+
+const (
+	alwaysLine  = "always | TestA | go test -run '^TestA$' ./a | it loses requests | issue 3"
+	atTimesLine = "at times | - | bin/milldeck lab soak --seed 7 | a late answer | issue 12"
+)
+
+func TestParseList(t *testing.T) {
+	for name, c := range map[string]struct{ text, wantErr string }{
+		"empty":               {"", ""},
+		"one of each kind":    {alwaysLine + "\n\n" + atTimesLine + "\n", ""},
+		"an unknown kind":     {"seldom" + strings.TrimPrefix(alwaysLine, "always"), "line 1: kind"},
+		"no test":             {strings.Replace(alwaysLine, "TestA |", "|", 1), "test"},
+		"no name of a test":   {strings.Replace(alwaysLine, "TestA |", "Testa |", 1), "test"},
+		"another test's":      {strings.Replace(alwaysLine, "TestA |", "TestB |", 1), "does not run TestB"},
+		"no command":          {"at times | - | | a late answer | issue 12", "no command"},
+		"nothing seen":        {strings.Replace(atTimesLine, "a late answer", "", 1), "what was seen"},
+		"no issue":            {strings.Replace(atTimesLine, "issue 12", "later", 1), "issue"},
+		"the form before":     {"TestA | it loses requests | issue 3", "3 parts"},
+		"twice":               {alwaysLine + "\n" + alwaysLine, "line 2: its command"},
+		"a part too many":     {alwaysLine + " | more", "6 parts"},
+		"the second is wrong": {alwaysLine + "\nTestB", "line 2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := parseList(c.text)
+			if (err == nil) != (c.wantErr == "") || err != nil && !strings.Contains(err.Error(), c.wantErr) {
+				t.Errorf("error %v, want %q", err, c.wantErr)
+			}
+		})
+	}
+}
+
+func TestPlayAll(t *testing.T) {
+	failing := "--- FAIL: TestA (0.01s)\nFAIL\n"
+	for name, c := range map[string]struct {
+		line     string
+		result   played
+		wantErr  string
+		wantText string
+	}{
+		"always, fails":               {alwaysLine, played{1, failing}, "", "now: failed"},
+		"always, a part of it fails":  {alwaysLine, played{1, "--- FAIL: TestA/case (0s)"}, "", "now: failed"},
+		"always, passes":              {alwaysLine, played{0, "ok"}, "take it off", "now: passed"},
+		"at times, fails":             {atTimesLine, played{1, "VIOLATION"}, "", "now: failed"},
+		"at times, passes":            {atTimesLine, played{0, ""}, "", "now: passed"},
+		"the build fails":             {alwaysLine, played{1, "FAIL ./a [build failed]"}, "without a failure", ""},
+		"another test fails":          {alwaysLine, played{1, "--- FAIL: TestAB (0s)"}, "without a failure", ""},
+		"there is no such test":       {alwaysLine, played{0, "ok [no tests to run]"}, "no such test", ""},
+		"there is no such command":    {atTimesLine, played{127, ""}, "does not exist", ""},
+		"the command is used wrongly": {atTimesLine, played{2, ""}, "used wrongly", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			entries, err := parseList(c.line)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var out strings.Builder
+			err = playAll(&out, entries, func(string) (played, error) { return c.result, nil })
+			if (err == nil) != (c.wantErr == "") || err != nil && !strings.Contains(err.Error(), c.wantErr) {
+				t.Errorf("error %v, want %q", err, c.wantErr)
+			}
+			if !strings.Contains(out.String(), c.wantText) {
+				t.Errorf("it prints %q, want %q", out.String(), c.wantText)
+			}
+		})
+	}
+}
+
+func TestRunInShell(t *testing.T) {
+	if result, err := runInShell("echo shown; exit 3"); err != nil || result.status != 3 || result.output != "shown\n" {
+		t.Errorf("%+v, %v", result, err)
+	}
+	if result, err := runInShell("./there-is-no-such-program"); err != nil || result.status != statusNotFound {
+		t.Errorf("%+v, %v", result, err)
+	}
+}
+
+func TestSkipPattern(t *testing.T) {
+	entries, err := parseList(alwaysLine + "\n" + atTimesLine)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if pattern := skipPattern(entries); pattern != "^(TestA)$" {
+		t.Errorf("pattern %q", pattern)
+	}
+	if pattern := skipPattern(entries[1:]); pattern != "" {
+		t.Errorf("pattern %q without a test", pattern)
+	}
+}
--- /dev/null
+++ b/internal/knownred/main.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+)
+
+func main() {
+	list := flag.String("list", "KNOWN-RED.txt", "file of the list")
+	skip := flag.String("skip", "", "file for the pattern of the tests to pass over")
+	commands := flag.String("commands", "", "file for the commands of the entries, one a line")
+	flag.Parse()
+	if err := check(*list, *skip, *commands); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", *list, err)
+		os.Exit(1)
+	}
+}
+
+// check plays the list, and writes what .ci/run passes over.
+func check(list, skip, commands string) error {
+	text, err := os.ReadFile(list)
+	if err != nil {
+		return err
+	}
+	entries, err := parseList(string(text))
+	if err != nil {
+		return err
+	}
+	if err := playAll(os.Stdout, entries, runInShell); err != nil {
+		return err
+	}
+	var lines strings.Builder
+	for i := range entries {
+		fmt.Fprintln(&lines, entries[i].Command)
+	}
+	for path, content := range map[string]string{skip: skipPattern(entries), commands: lines.String()} {
+		if path == "" {
+			continue
+		}
+		if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
