Sidecar: a connection is not evicted while its response is on its way

What callers saw: with a full table of client connections, a client that reads slowly and had sent more behind its last request lost answers: the connection was reset ("the response is incomplete: read: connection reset by peer").

Cause: evictionCandidate took closing connections first, whatever of their response was still buffered here, and a close over unread bytes resets.

Why this mend holds: a connection is no candidate while bytes of its response are not acknowledged (SIOCOUTQ); closing ones are bounded by their own deadline, idle ones are left alone for as long as a closing one lingers. One whose client has all of it is evicted at once, as before.

--- a/internal/sidecar/client_listener.go
+++ b/internal/sidecar/client_listener.go
@@ -193,13 +193,18 @@
 }
 
 // evictionCandidate returns the evictable connection of the earliest phase that is in it for longest. It also reports
-// whether a new connection may have its first request, or a part of it, unread. The caller holds the lock.
+// whether a new connection may have its first request, or a part of it, unread. One whose last response is still on its way
+// is no candidate: bytes that its client has sent, or sends next, would have the close reset it and take the rest of the
+// response with it. The caller holds the lock.
 func (l *clientListener) evictionCandidate(now time.Time) (candidate *clientConn, firstRequestExpected bool) {
 	for conn := range l.conns {
 		if conn.phase != phaseClosing && !conn.evictable(now) {
 			firstRequestExpected = firstRequestExpected || conn.phase == phaseNew
 			continue
 		}
+		if l.awaitsDelivery(conn, now) {
+			continue
+		}
 		if candidate == nil || conn.phase < candidate.phase || conn.phase == candidate.phase && conn.phaseSince.Before(candidate.phaseSince) {
 			candidate = conn
 		}
@@ -207,6 +212,21 @@
 	return candidate, firstRequestExpected
 }
 
+// awaitsDelivery reports whether a response is still on its way to the client, and the client has had less time to read it than a
+// connection lingers for. A closing connection is bounded by its own deadline.
+func (l *clientListener) awaitsDelivery(conn *clientConn, now time.Time) bool {
+	switch conn.phase {
+	case phaseClosing:
+	case phaseIdle:
+		if now.After(conn.phaseSince.Add(l.lingerTimeout)) {
+			return false
+		}
+	default:
+		return false
+	}
+	return unacknowledgedBytes(conn.rawConn) > 0
+}
+
 // evictExcessPersistent removes the longest idle connection if more than maxPersistent have carried a request, nil if
 // not. The caller holds the lock and closes the connection after it has released the lock. The application may use a
 // third of the descriptors for its requests: if it fills them with connections that it used once, it has none left for
@@ -223,7 +243,7 @@
 			longestIdle = conn
 		}
 	}
-	if persistent <= l.maxPersistent || longestIdle == nil || !openAndEmpty(longestIdle.TCPConn) {
+	if persistent <= l.maxPersistent || longestIdle == nil || !openAndEmpty(longestIdle.TCPConn) || l.awaitsDelivery(longestIdle, now) {
 		return nil
 	}
 	l.remove(longestIdle, clientConnEvictedIdle)
--- a/internal/sidecar/client_read.go
+++ b/internal/sidecar/client_read.go
@@ -204,3 +204,18 @@
 		}
 	}
 }
+
+// unacknowledgedBytes returns how many bytes were written to a connection that its peer's machine has not acknowledged; 0 if the
+// system does not tell.
+func unacknowledgedBytes(rawConn syscall.RawConn) int {
+	count := 0
+	controlErr := rawConn.Control(func(fd uintptr) {
+		if queued, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
+			count = queued
+		}
+	})
+	if controlErr != nil {
+		return 0 // closed already
+	}
+	return count
+}
