Soak: clients after SIGTERM, signals in series, crowds, settings and draws by seed

The longest deadline and the shortest window differ by seed. A server that is killed excuses nothing that it had to have answered.

Every draw comes from the seed by a generator of its own; a run could not be played again before. A violation prints the command that plays it again.

--- a/cmd/milldeck/lab_soak.go
+++ b/cmd/milldeck/lab_soak.go
@@ -101,12 +101,24 @@
 		return 0, err
 	}
 	printSoak(command.OutOrStdout(), result, dir)
+	if len(result.Violations) > 0 {
+		fmt.Fprintf(command.OutOrStdout(), "  again: %s\n", f.commandFor(seed))
+	}
 	if len(result.Violations) == 0 && f.dir == "" {
 		err = os.RemoveAll(filepath.Dir(dir))
 	}
 	return len(result.Violations), err
 }
 
+// commandFor is the command that plays the run of a seed again, with the sidecar beside the program.
+func (f *soakFlags) commandFor(seed uint64) string {
+	text := fmt.Sprintf("bin/milldeck lab soak --seed %d --for %v --faults %v", seed, f.length, f.faultRate)
+	if len(f.only) > 0 {
+		text += " --only " + strings.Join(f.only, ",")
+	}
+	return text
+}
+
 // printSoak prints the result of a run, and the faults where promises were broken.
 func printSoak(out io.Writer, result *faultsoak.Result, dir string) {
 	failedCalls := 0
@@ -128,6 +140,7 @@
 // newLabSoakServer is hidden: it is a server of the soak.
 func newLabSoakServer() *cobra.Command {
 	var listen string
+	var seed uint64
 	command := &cobra.Command{
 		Use: "soak-server", Hidden: true, Short: "Runs one server of the soak until SIGTERM", Args: exactArgs(0),
 		RunE: func(command *cobra.Command, _ []string) error {
@@ -138,10 +151,11 @@
 			if err != nil {
 				return usageError{fmt.Errorf("--listen: %w", err)}
 			}
-			return faultsoak.ServeServer(command.Context(), listener, command.OutOrStdout())
+			return faultsoak.ServeServer(command.Context(), listener, command.OutOrStdout(), seed)
 		},
 	}
 	command.Flags().StringVar(&listen, "listen", "127.0.0.1:0", "address on loopback")
+	command.Flags().Uint64Var(&seed, "seed", 0, "seed of the run")
 	return command
 }
 
--- a/internal/faultsoak/agent.go
+++ b/internal/faultsoak/agent.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -34,7 +33,8 @@
 
 // agent is the discovery agent of one sidecar, at one address. All agents of a sidecar serve the same list.
 type agent struct {
-	ctx context.Context
+	ctx    context.Context
+	random *generator
 
 	mu          sync.Mutex
 	revision    int64
@@ -47,8 +47,8 @@
 	silentGroup int // watches of an earlier group stay silent
 }
 
-func newAgent(ctx context.Context, list []endpoint) *agent {
-	a := &agent{ctx: ctx, revision: 1, list: list, changed: make(chan struct{}), changes: make([]int64, len(list))}
+func newAgent(ctx context.Context, list []endpoint, random *generator) *agent {
+	a := &agent{ctx: ctx, random: random, revision: 1, list: list, changed: make(chan struct{}), changes: make([]int64, len(list))}
 	for i := range a.changes {
 		a.changes[i] = 1
 	}
@@ -166,7 +166,7 @@
 		a.mu.Unlock()
 		text := "\n"
 		if list.Complete || len(list.Targets) > 0 {
-			text = encodeList(list)
+			text = a.encodeList(list)
 		}
 		after = list.Revision
 		if !silent && a.awaitUp(r.Context()) {
@@ -200,9 +200,9 @@
 }
 
 // encodeList encodes a list in one of the forms that the protocol allows.
-func encodeList(list endpointList) string {
+func (a *agent) encodeList(list endpointList) string {
 	data, err := json.Marshal(list)
-	if rand.IntN(3) == 0 {
+	if a.random.IntN(3) == 0 {
 		data, err = json.MarshalIndent(list, "", "  ")
 	}
 	if err != nil {
--- a/internal/faultsoak/clients.go
+++ b/internal/faultsoak/clients.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -24,10 +23,15 @@
 	slowWriteLongest  = 400 * time.Millisecond
 	minTimeoutShare   = 0.4
 	maxBodyBytes      = 3000
+	distinctKeys      = 200
 	floodRequests     = 40
 	pipelineRequests  = 6
 	idleConnections   = 80
-	clientDialTimeout = time.Second
+	crowdConnections  = 420 // more than the descriptors that a sidecar may have
+	// Around SIGTERM: connections that rest, and the time between two uses of all that are open.
+	restingConnections = 6
+	useOpenInterval    = 60 * time.Millisecond
+	clientDialTimeout  = time.Second
 )
 
 // clients are the clients of one sidecar.
@@ -35,11 +39,14 @@
 	sidecar *sidecar
 	records *records
 	faults  *linkFaults // of the clients' side
+	classes []class
+	seed    uint64
 	lastID  *atomic.Int64
 	work    sync.WaitGroup
 
-	mu   sync.Mutex
-	idle []*clientConn
+	mu           sync.Mutex
+	idle         []*clientConn
+	crowdedUntil time.Time
 }
 
 // clientConn is a connection to a sidecar.
@@ -55,40 +62,42 @@
 func (c *clients) run(ctx context.Context) {
 	defer c.closeIdle()
 	defer c.work.Wait()
-	for {
-		pause := time.Duration(rand.ExpFloat64() * float64(time.Second) / requestsPerSecond)
+	arrivals := newGenerator(c.seed, fmt.Sprint("arrivals ", c.sidecar.number))
+	for number := 0; ; number++ {
+		pause := arrivals.Exponential(time.Second / requestsPerSecond)
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(pause):
 		}
-		c.work.Go(c.sendOne)
+		c.work.Go(func() { c.sendOne(newGenerator(c.seed, fmt.Sprint("client ", c.sidecar.number, " ", number))) })
 	}
 }
 
 // sendOne plays one client of a kind that is drawn.
-func (c *clients) sendOne() {
-	switch draw := rand.Float64(); {
-	case c.faults.draw(faultFlood) && draw < 0.2:
-		c.flood()
-	case c.faults.draw(faultPipelining) && draw < 0.4 || draw < 0.02:
-		c.pipeline()
-	case c.faults.draw(faultLeaving) || draw < 0.06:
-		c.leave()
+func (c *clients) sendOne(random *generator) {
+	switch draw := random.Float64(); {
+	case c.faults.draw(faultFlood, random) && draw < 0.2:
+		c.flood(random)
+	case c.faults.draw(faultPipelining, random) && draw < 0.4 || draw < 0.02:
+		c.pipeline(random)
+	case c.faults.draw(faultLeaving, random) || draw < 0.06:
+		c.leave(random)
 	case draw < 0.10:
-		c.request("slow", slowWriteLongest)
+		c.request("slow", slowWriteLongest, random)
 	case draw < 0.12:
-		c.stop()
+		c.stop(random)
 	default:
-		c.request("plain", 0)
+		c.request("plain", 0, random)
 	}
 }
 
-func (c *clients) newRequest(kind string) *requestRecord {
-	chosen := &classes[rand.IntN(len(classes))]
+func (c *clients) newRequest(kind string, random *generator) *requestRecord {
+	chosen := &c.classes[random.IntN(len(c.classes))]
 	return &requestRecord{
 		ID: fmt.Sprintf("r%08x", c.lastID.Add(1)), Class: chosen, Sidecar: c.sidecar.number, Kind: kind,
-		Timeout: time.Duration((minTimeoutShare + (1-minTimeoutShare)*rand.Float64()) * float64(chosen.deadline)),
+		Timeout: time.Duration((minTimeoutShare + (1-minTimeoutShare)*random.Float64()) * float64(chosen.deadline)),
+		key:     random.IntN(distinctKeys), size: random.IntN(maxBodyBytes),
 	}
 }
 
@@ -97,14 +106,14 @@
 	var head strings.Builder
 	fmt.Fprintf(&head, "%s /api HTTP/1.1\r\nHost: backend.local\r\nX-Request-ID: %s\r\nX-Priority-Class: %s\r\nX-Timeout-Ms: %d\r\n",
 		r.Class.method, r.ID, r.Class.name, r.Timeout.Milliseconds())
-	fmt.Fprintf(&head, "Cookie: k=%d\r\n", rand.IntN(200))
+	fmt.Fprintf(&head, "Cookie: k=%d\r\n", r.key)
 	if r.Class.keyed {
 		fmt.Fprintf(&head, "Idempotency-Key: key-%s\r\n", r.ID)
 	}
 	if r.Class.method == http.MethodGet {
 		return head.String() + "\r\n"
 	}
-	body := strings.Repeat("b", rand.IntN(maxBodyBytes))
+	body := strings.Repeat("b", r.size)
 	fmt.Fprintf(&head, "Content-Length: %d\r\n\r\n%s", len(body), body)
 	return head.String()
 }
@@ -146,8 +155,8 @@
 }
 
 // request sends one request, in two parts where slowBy is not 0, and waits for the answer.
-func (c *clients) request(kind string, slowBy time.Duration) {
-	record := c.newRequest(kind)
+func (c *clients) request(kind string, slowBy time.Duration, random *generator) {
+	record := c.newRequest(kind, random)
 	conn := c.connect(false)
 	if conn == nil {
 		return
@@ -155,9 +164,9 @@
 	c.records.addRequest(record)
 	text := record.encode()
 	if slowBy > 0 {
-		cut := rand.IntN(len(text))
+		cut := random.IntN(len(text))
 		if _, err := io.WriteString(conn, text[:cut]); err == nil {
-			time.Sleep(rand.N(slowBy))
+			time.Sleep(random.Below(slowBy))
 		}
 		text = text[cut:]
 	}
@@ -179,6 +188,10 @@
 	}
 	conn.Close()
 	resend := conn.reused && !timedOut(err) && !c.sidecar.killedSince(sentAt)
+	if !conn.reused && !timedOut(err) && c.crowded() {
+		c.records.update(func() { record.Outcome = outcomeShutUnread })
+		return
+	}
 	if !resend {
 		c.fail(record, err, sentAt)
 		return
@@ -210,7 +223,7 @@
 func (c *clients) fail(record *requestRecord, err error, sentAt time.Time) {
 	outcome := outcomeClosed
 	switch {
-	case c.sidecar.killedSince(sentAt):
+	case c.sidecar.excuses(sentAt):
 		outcome = outcomeExcused
 	case timedOut(err):
 		outcome = outcomeSilent
@@ -249,8 +262,8 @@
 }
 
 // leave sends a request and closes the connection before the answer, or its sending side.
-func (c *clients) leave() {
-	record := c.newRequest("leaving")
+func (c *clients) leave(random *generator) {
+	record := c.newRequest("leaving", random)
 	conn := c.connect(false)
 	if conn == nil {
 		return
@@ -262,8 +275,8 @@
 		return
 	}
 	c.records.update(func() { record.SentAt = time.Now() })
-	time.Sleep(time.Duration(rand.Float64() * rand.Float64() * float64(record.Timeout)))
-	if rand.IntN(3) == 0 {
+	time.Sleep(time.Duration(random.Float64() * random.Float64() * float64(record.Timeout)))
+	if random.IntN(3) == 0 {
 		_ = conn.Conn.(*net.TCPConn).CloseWrite() // fails only if the sidecar has closed the connection
 	} else {
 		conn.Close()
@@ -273,15 +286,15 @@
 }
 
 // flood sends many requests at once and closes the connection.
-func (c *clients) flood() {
+func (c *clients) flood(random *generator) {
 	conn := c.connect(true)
 	if conn == nil {
 		return
 	}
 	var text strings.Builder
 	var sent []*requestRecord
-	for range 2 + rand.IntN(floodRequests) {
-		record := c.newRequest("flood")
+	for range 2 + random.IntN(floodRequests) {
+		record := c.newRequest("flood", random)
 		c.records.addRequest(record)
 		sent = append(sent, record)
 		text.WriteString(record.encode())
@@ -298,15 +311,15 @@
 }
 
 // pipeline sends several requests at once and reads their answers in order.
-func (c *clients) pipeline() {
-	conn := c.connect(rand.IntN(2) == 0)
+func (c *clients) pipeline(random *generator) {
+	conn := c.connect(random.IntN(2) == 0)
 	if conn == nil {
 		return
 	}
 	var text strings.Builder
 	var sent []*requestRecord
-	for range 2 + rand.IntN(pipelineRequests) {
-		record := c.newRequest("pipelined")
+	for range 2 + random.IntN(pipelineRequests) {
+		record := c.newRequest("pipelined", random)
 		c.records.addRequest(record)
 		sent = append(sent, record)
 		text.WriteString(record.encode())
@@ -347,15 +360,15 @@
 }
 
 // stop sends a part of a request and waits for the error or the close that it is owed.
-func (c *clients) stop() {
+func (c *clients) stop(random *generator) {
 	conn := c.connect(true)
 	if conn == nil {
 		return
 	}
 	defer conn.Close()
-	record := c.newRequest("stopped")
+	record := c.newRequest("stopped", random)
 	text := record.encode()
-	if _, err := io.WriteString(conn, text[:1+rand.IntN(len(text)-1)]); err != nil {
+	if _, err := io.WriteString(conn, text[:1+random.IntN(len(text)-1)]); err != nil {
 		return
 	}
 	_ = conn.SetReadDeadline(time.Now().Add(badClientLimit + labSlack + c.records.slack))
@@ -364,10 +377,66 @@
 	}
 }
 
+// useOpen sends a request on every resting connection, again and again until done is closed: so do clients of a sidecar that is told
+// to end, for as long as a connection stays open.
+func (c *clients) useOpen(done <-chan struct{}, random *generator) {
+	var work sync.WaitGroup
+	defer work.Wait()
+	ticker := time.NewTicker(useOpenInterval)
+	defer ticker.Stop()
+	for {
+		c.mu.Lock()
+		resting := c.idle
+		c.idle = nil
+		c.mu.Unlock()
+		for _, conn := range resting {
+			conn.reused = true
+			record := c.newRequest("ending", random)
+			c.records.addRequest(record)
+			work.Go(func() { c.exchange(conn, record, record.encode()) })
+		}
+		select {
+		case <-done:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// rest opens connections and serves a request on each, so that they rest.
+func (c *clients) rest(random *generator) {
+	var work sync.WaitGroup
+	for range restingConnections {
+		conn := c.connect(true)
+		if conn == nil {
+			continue
+		}
+		record := c.newRequest("resting", random)
+		c.records.addRequest(record)
+		work.Go(func() { c.exchange(conn, record, record.encode()) })
+	}
+	work.Wait()
+}
+
+// crowd opens so many idle connections that the sidecar's descriptors do not suffice.
+func (c *clients) crowd(until time.Time) {
+	c.mu.Lock()
+	c.crowdedUntil = laterOf(c.crowdedUntil, until.Add(clientDialTimeout))
+	c.mu.Unlock()
+	c.hold(crowdConnections, until)
+}
+
+// crowded reports whether there is a crowd, or was one a moment ago: new connections may be shut unread then.
+func (c *clients) crowded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Before(c.crowdedUntil)
+}
+
 // hold opens idle connections for a time.
-func (c *clients) hold(until time.Time) {
+func (c *clients) hold(count int, until time.Time) {
 	var idle []net.Conn
-	for range idleConnections {
+	for range count {
 		if conn, err := net.DialTimeout("tcp", c.sidecar.address, clientDialTimeout); err == nil {
 			idle = append(idle, conn)
 		}
--- a/internal/faultsoak/inject.go
+++ b/internal/faultsoak/inject.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
+	"sync"
 	"syscall"
 	"time"
 
@@ -16,11 +16,11 @@
 	var err error
 	switch planned.Kind {
 	case faultTerminate:
-		err = target.terminate(s.ctx)
+		err = s.terminate(planned)
 	case faultKill:
 		err = target.kill(s.ctx)
 	case faultReload:
-		err = target.reload()
+		err = target.reload(planned.Series)
 	case faultHold:
 		target.hold(planned.For)
 	case faultClockStep:
@@ -30,7 +30,7 @@
 	case faultRestart:
 		err = s.restartServer(of)
 	case faultDrain:
-		s.drainServer(of, planned.For)
+		s.drainServer(of, planned.For, planned.Removed)
 	case faultFreeze:
 		of.freeze(planned.For)
 	case faultErrors, faultReset, faultCut, faultResponses:
@@ -40,13 +40,28 @@
 	case faultLeaving, faultFlood, faultPipelining:
 		s.clients[planned.Sidecar].faults.begin(planned.Kind, until, planned.Share)
 	case faultIdle:
-		s.clients[planned.Sidecar].hold(until)
+		s.clients[planned.Sidecar].hold(idleConnections, until)
+	case faultCrowd:
+		s.clients[planned.Sidecar].crowd(until)
 	}
 	if err != nil && s.ctx.Err() == nil {
 		s.records.violate("soak", "", fmt.Sprintf("%v: %v", planned, err))
 	}
 }
 
+// terminate ends a sidecar while its clients use every connection that is open.
+func (s *soak) terminate(planned fault) error {
+	target, of := s.sidecars[planned.Sidecar], s.clients[planned.Sidecar]
+	random := s.generator("ending", planned.Sidecar, int(planned.At))
+	of.rest(random)
+	ended := make(chan struct{})
+	var using sync.WaitGroup
+	using.Go(func() { of.useOpen(ended, random) })
+	err := target.terminate(s.ctx, planned.Series, func() { close(ended) })
+	using.Wait()
+	return err
+}
+
 // stepClocks steps the one wall clock that all machines read.
 func (s *soak) stepClocks(step time.Duration) {
 	s.wallStep.Add(int64(step))
@@ -105,14 +120,14 @@
 }
 
 // drainServer announces a server as terminating, removes it, and has it return.
-func (s *soak) drainServer(of *server, length time.Duration) {
+func (s *soak) drainServer(of *server, length time.Duration, removed bool) {
 	if !of.lifecycle.TryLock() {
 		return
 	}
 	defer of.lifecycle.Unlock()
 	s.publish(of, "Terminating")
 	time.Sleep(drainAnnounced)
-	if rand.IntN(2) == 0 {
+	if removed {
 		s.publish(of, "Gone")
 	}
 	time.Sleep(length)
--- a/internal/faultsoak/oracle.go
+++ b/internal/faultsoak/oracle.go
@@ -69,6 +69,10 @@
 		violate("answer", "the connection was closed without an answer")
 	case outcomeSilent:
 		violate("answer", "no answer came")
+	case outcomeShutUnread:
+		if len(request.Attempts) > 0 {
+			violate("answer", "a new connection was closed without an answer, though the request was read and forwarded")
+		}
 	case outcomeAnswered:
 		if late := request.AnsweredAt.Sub(request.dueAt); late > answerGrace+labSlack+slack {
 			violate("answer", "the answer came %v after the deadline", late)
--- a/internal/faultsoak/oracle_test.go
+++ b/internal/faultsoak/oracle_test.go
@@ -22,6 +22,8 @@
 	}
 }
 
+var classes = newClasses(2*time.Second, 1500*time.Millisecond)
+
 // Numbers of classes.
 const (
 	lookupClass = iota
@@ -41,6 +43,8 @@
 		"closed":           {lookupClass, func(r *requestRecord) { r.Outcome = outcomeClosed }, "answer"},
 		"silent":           {lookupClass, func(r *requestRecord) { r.Outcome = outcomeSilent }, "answer"},
 		"killed":           {lookupClass, func(r *requestRecord) { r.Outcome = outcomeExcused }, ""},
+		"shut unread":      {lookupClass, func(r *requestRecord) { r.Outcome, r.Attempts = outcomeShutUnread, nil }, ""},
+		"read and shut":    {lookupClass, func(r *requestRecord) { r.Outcome = outcomeShutUnread }, "answer"},
 		"too late":         {lookupClass, func(r *requestRecord) { r.AnsweredAt = at(1700) }, "answer"},
 		"late, in grace":   {lookupClass, func(r *requestRecord) { r.AnsweredAt = at(1400) }, ""},
 		"another's answer": {lookupClass, func(r *requestRecord) { r.Body = responseBody("r2", 10) }, "foreign"},
--- a/internal/faultsoak/plan.go
+++ b/internal/faultsoak/plan.go
@@ -34,6 +34,7 @@
 	faultFlood       faultKind = "clients-flood"     // send much at once and leave
 	faultPipelining  faultKind = "clients-pipeline"  // send several requests at once
 	faultIdle        faultKind = "clients-idle"      // many idle connections
+	faultCrowd       faultKind = "clients-crowd"     // idle connections fill the descriptors
 )
 
 // allFaults are the kinds to draw from; those that stand twice are drawn twice as often.
@@ -41,6 +42,7 @@
 	faultTerminate, faultTerminate, faultKill, faultReload, faultHold, faultClockStep, faultSystemCall, faultSystemCall,
 	faultRestart, faultDrain, faultFreeze, faultErrors, faultReset, faultCut, faultResponses,
 	faultAgentDown, faultWatchSilent, faultWatchReset, faultLeaving, faultFlood, faultPipelining, faultPipelining, faultIdle,
+	faultCrowd,
 }
 
 // kindsNamed returns the kinds with names, all without any. The error names one that is unknown.
@@ -69,6 +71,8 @@
 	Call    shim.Call
 	Errno   syscall.Errno
 	Share   float64 // of calls, responses or clients
+	Removed bool    // of a drain: the server is removed before it returns
+	Series  signalSeries
 }
 
 // String describes the fault.
@@ -77,6 +81,8 @@
 	switch f.Kind {
 	case faultClockStep:
 		text += fmt.Sprintf(" step %v", f.Step)
+	case faultTerminate, faultReload:
+		text += " " + string(f.Series)
 	case faultSystemCall:
 		text += fmt.Sprintf(" %v %v share %.2f", f.Call, f.Errno, f.Share)
 	}
@@ -106,6 +112,7 @@
 	Faults   []fault
 	Push     bool // lists are pushed
 	WarmKeys bool
+	Classes  []class
 }
 
 // DefaultFaultRate has two or three faults overlap.
@@ -118,10 +125,18 @@
 	maxCallFailure = time.Second
 )
 
+// What the settings of a run draw from: the longest deadline of all classes, which may exceed what counts until SIGKILL, and the
+// deduplication window of the class whose keys only one cell knows.
+var (
+	longestDeadlines = []time.Duration{1200 * time.Millisecond, 2 * time.Second, 3 * time.Second, 4500 * time.Millisecond}
+	shortWindows     = []time.Duration{700 * time.Millisecond, 1500 * time.Millisecond}
+)
+
 // newPlan draws a run with so many faults a second.
 func newPlan(seed uint64, length time.Duration, faultRate float64, kinds []faultKind) plan {
 	random := rand.New(rand.NewPCG(seed, 0))
 	drawn := plan{Seed: seed, Length: length, Push: random.IntN(2) == 0, WarmKeys: random.IntN(2) == 0}
+	drawn.Classes = newClasses(longestDeadlines[random.IntN(len(longestDeadlines))], shortWindows[random.IntN(len(shortWindows))])
 	count := int(faultRate * (length - firstFaultAt).Seconds())
 	for range count {
 		drawn.Faults = append(drawn.Faults, drawFault(random, length, kinds))
@@ -139,6 +154,12 @@
 		Share:   0.3 + 0.7*random.Float64(),
 	}
 	switch drawn.Kind {
+	case faultTerminate:
+		drawn.Series = terminationSeries[random.IntN(len(terminationSeries))]
+	case faultReload:
+		drawn.Series = reloadSeries[random.IntN(len(reloadSeries))]
+	case faultDrain:
+		drawn.Removed = random.IntN(2) == 0
 	case faultHold:
 		drawn.For = time.Duration((0.5 + 0.5*random.Float64()) * float64(maxHold))
 	case faultClockStep:
--- a/internal/faultsoak/proxy.go
+++ b/internal/faultsoak/proxy.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -41,10 +40,10 @@
 }
 
 // draw reports whether a fault is in force and hits this time.
-func (f *linkFaults) draw(kind faultKind) bool {
+func (f *linkFaults) draw(kind faultKind, random *generator) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return time.Now().Before(f.until[kind]) && rand.Float64() < f.share[kind]
+	return time.Now().Before(f.until[kind]) && random.Float64() < f.share[kind]
 }
 
 func (f *linkFaults) active(kind faultKind) bool {
@@ -59,6 +58,7 @@
 	backend         string // the server's address
 	listener        net.Listener
 	faults          *linkFaults // of the server
+	random          *generator
 	records         *records
 	ctx             context.Context
 	connections     sync.WaitGroup
@@ -172,12 +172,12 @@
 		return false
 	}
 	switch {
-	case l.faults.draw(faultErrors):
-		if rand.IntN(2) == 0 {
+	case l.faults.draw(faultErrors, l.random):
+		if l.random.IntN(2) == 0 {
 			return writeAll(conn, "HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n")
 		}
 		return writeAll(conn, "HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n")
-	case l.faults.draw(faultReset) && rand.IntN(3) == 0:
+	case l.faults.draw(faultReset, l.random) && l.random.IntN(3) == 0:
 		return conn.reset()
 	}
 	status, notProcessed, response, err := l.forward(conn, request, body)
@@ -187,18 +187,18 @@
 	if !l.awaitHealed(conn) {
 		return false
 	}
-	if l.faults.draw(faultReset) {
+	if l.faults.draw(faultReset, l.random) {
 		text := sizedResponse(status, notProcessed, response)
-		writeAll(conn, text[:rand.IntN(len(text))])
+		writeAll(conn, text[:l.random.IntN(len(text))])
 		return conn.reset()
 	}
-	if status == http.StatusOK && l.faults.draw(faultResponses) {
+	if status == http.StatusOK && l.faults.draw(faultResponses, l.random) {
 		return l.writeOddly(conn, response)
 	}
 	if !writeAll(conn, sizedResponse(status, notProcessed, response)) {
 		return false
 	}
-	return rand.Float64() >= idleClosingShare
+	return l.random.Float64() >= idleClosingShare
 }
 
 // forward sends a request to the server on a connection of its own, until the sidecar gives it up.
@@ -236,7 +236,7 @@
 // writeOddly writes a complete response in an unusual way.
 func (l *link) writeOddly(conn *proxiedConn, body string) (reusable bool) {
 	text := sizedResponse(http.StatusOK, false, body)
-	switch rand.IntN(6) {
+	switch l.random.IntN(6) {
 	case 0: // no length: the end of the connection ends it
 		writeAll(conn, "HTTP/1.1 200 OK\r\n\r\n"+body)
 		return false
@@ -256,7 +256,7 @@
 		if !writeAll(conn, text) {
 			return false
 		}
-		time.Sleep(rand.N(maxSecondResponse))
+		time.Sleep(l.random.Below(maxSecondResponse))
 		return writeAll(conn, sizedResponse(http.StatusOK, false, "another"))
 	case 4: // cut short
 		writeAll(conn, text[:len(text)-1])
--- a/internal/faultsoak/records.go
+++ b/internal/faultsoak/records.go
@@ -19,13 +19,34 @@
 	single     bool // may be executed once only
 }
 
-var classes = []class{
-	{name: "lookup", method: "GET", deadline: 1500 * time.Millisecond, repeatable: true},
-	{name: "reserve", method: "POST", keyed: true, deadline: 1200 * time.Millisecond, window: 1500 * time.Millisecond, byCell: true},
-	{name: "quote", method: "POST", keyed: true, deadline: 2 * time.Second, window: 5 * time.Second, repeatable: true},
-	{name: "charge", method: "POST", deadline: time.Second, single: true},
+// newClasses returns the classes of a run. The longest deadline decides when SIGKILL may come at the earliest after SIGTERM, and the
+// window until when a request may be sent again.
+func newClasses(longestDeadline, shortWindow time.Duration) []class {
+	return []class{
+		{name: "lookup", method: "GET", deadline: min(1500*time.Millisecond, longestDeadline), repeatable: true},
+		{name: "reserve", method: "POST", keyed: true, deadline: 1200 * time.Millisecond, window: shortWindow, byCell: true},
+		{name: "quote", method: "POST", keyed: true, deadline: longestDeadline, window: 5 * time.Second, repeatable: true},
+		{name: "charge", method: "POST", deadline: time.Second, single: true},
+	}
+}
+
+// killAfterTerm is when SIGKILL may come at the earliest after SIGTERM, by the longest deadline of the classes.
+func killAfterTerm(classes []class) time.Duration {
+	longest := time.Duration(0)
+	for i := range classes {
+		longest = max(longest, classes[i].deadline)
+	}
+	return min(longest, maxDeadlineCounted) + owedAfterTerm
 }
 
+const (
+	// maxDeadlineCounted is the most that a deadline counts for until SIGKILL, by the protocol.
+	maxDeadlineCounted = 3 * time.Second
+	// owedAfterTerm is by how much SIGKILL comes later than the longest deadline. What comes later than this after SIGTERM and is
+	// unanswered when SIGKILL comes is lost.
+	owedAfterTerm = 700 * time.Millisecond
+)
+
 // requestRecord is what is known of one request.
 type requestRecord struct {
 	ID      string
@@ -34,6 +55,8 @@
 	Kind    string // of client
 	Timeout time.Duration
 	SentAt  time.Time // its last byte was written; zero: it never was
+	key     int       // of the client's data
+	size    int       // of the body
 
 	resentAt       time.Time // sent once more, as a close crossed it
 	dueAt          time.Time // the answer, without any grace
@@ -57,6 +80,7 @@
 	outcomeSilent       outcome = "silent"      // no answer came in time
 	outcomeDisconnected outcome = "left"        // by the client
 	outcomeExcused      outcome = "excused"     // the process was killed
+	outcomeShutUnread   outcome = "shut unread" // a new connection ended without an answer in a crowd
 )
 
 // attemptRecord is one request on a link, as the proxy saw it.
--- a/internal/faultsoak/run.go
+++ b/internal/faultsoak/run.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -168,7 +169,7 @@
 func (s *soak) startServer(started *server) error {
 	process, err := proc.Start(proc.Spec{
 		Name: fmt.Sprintf("server %d", started.number), Path: s.options.MilldeckPath,
-		Args: []string{"lab", "soak-server", "--listen", started.address}, Log: s.serverLog(started.number),
+		Args: []string{"lab", "soak-server", "--listen", started.address, "--seed", strconv.FormatUint(s.options.Seed, 10)}, Log: s.serverLog(started.number),
 	})
 	if err != nil {
 		return err
@@ -194,7 +195,7 @@
 		}
 		proxied := &link{
 			sidecar: number, server: target.number, backend: target.address, listener: listener, faults: target.faults,
-			records: s.records, ctx: s.ctx,
+			records: s.records, ctx: s.ctx, random: s.generator("link", number, target.number),
 		}
 		s.work.Go(proxied.serve)
 		entry := target.entry
@@ -203,23 +204,30 @@
 	}
 	started := &sidecar{
 		number: number, address: s.block.Addr(baseSubnet, hostsPerSidecar*(number+1)+hostsPerSidecar/2, sidecarPort),
-		options: s.options, records: s.records, settings: s.settings(number),
+		options: s.options, records: s.records, settings: s.settings(number), killAfter: killAfterTerm(s.plan.Classes),
 	}
 	for i, port := range []int{agentPort, secondAgentPort} {
 		listener, err := s.listen(s.block.Addr(baseSubnet, hostsPerSidecar*(number+1)+hostsPerSidecar/2, port))
 		if err != nil {
 			return err
 		}
-		served := newAgent(s.ctx, slices.Clone(list))
+		served := newAgent(s.ctx, slices.Clone(list), s.generator("agent", number, i))
 		started.agents[i] = &agentAddress{served, listener.Addr().String()}
 		s.work.Go(func() { served.serve(listener) })
 	}
 	s.sidecars = append(s.sidecars, started)
-	s.clients = append(s.clients, &clients{sidecar: started, records: s.records, faults: newLinkFaults(), lastID: new(atomic.Int64)})
+	s.clients = append(s.clients, &clients{
+		sidecar: started, records: s.records, faults: newLinkFaults(), classes: s.plan.Classes, seed: s.options.Seed, lastID: new(atomic.Int64),
+	})
 	s.clients[number].lastID.Store(int64(number+1) << 24)
 	return started.start(s.ctx)
 }
 
+// generator returns the generator of a numbered part of the run.
+func (s *soak) generator(part string, numbers ...int) *generator {
+	return newGenerator(s.options.Seed, fmt.Sprint(part, " ", numbers))
+}
+
 // settings are the settings of a sidecar.
 func (s *soak) settings(number int) json.RawMessage {
 	discovery := "subscribe"
@@ -227,7 +235,7 @@
 		discovery = "automatic"
 	}
 	var list []map[string]any
-	for _, class := range classes {
+	for _, class := range s.plan.Classes {
 		effect, group := "read_like", "all"
 		switch {
 		case class.keyed:
--- a/internal/faultsoak/server.go
+++ b/internal/faultsoak/server.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"hash/fnv"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -23,6 +22,7 @@
 	serverQueue    = 40
 	meanWork       = 25 * time.Millisecond
 	capacityPerSec = float64(time.Second / meanWork) // of one warm server
+	maxExtraBytes  = 400                             // of a response, beyond the size of the request
 	executionMark  = "executed"                      // begins a line of a server's log
 )
 
@@ -34,7 +34,7 @@
 }
 
 // ServeServer runs one server of a soak until ctx ends. It logs each execution before it begins.
-func ServeServer(ctx context.Context, listener net.Listener, log io.Writer) error {
+func ServeServer(ctx context.Context, listener net.Listener, log io.Writer, seed uint64) error {
 	core := make(chan struct{}, 1)
 	waiting := make(chan struct{}, serverQueue)
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -58,8 +58,9 @@
 		}
 		id := r.Header.Get("X-Request-ID")
 		fmt.Fprintf(log, "%s %s %q %d\n", executionMark, id, r.Header.Get("Idempotency-Key"), monotonicClock())
-		time.Sleep(time.Duration((0.5 + rand.Float64()) * float64(meanWork)))
-		_, _ = io.WriteString(w, responseBody(id, len(body))) // fails only if the client has gone
+		random := newGenerator(seed, "execution "+id)
+		time.Sleep(time.Duration((0.5 + random.Float64()) * float64(meanWork)))
+		_, _ = io.WriteString(w, responseBody(id, len(body)+random.IntN(maxExtraBytes))) // fails only if the client has gone
 	})
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() }) // the run is over
@@ -73,7 +74,7 @@
 // responseBody is the response to a request: its ID, some bytes and a checksum, by which a response that was made up, cut
 // short or given to another request is told.
 func responseBody(id string, size int) string {
-	text := id + " " + strings.Repeat("x", size+rand.IntN(400)) + " "
+	text := id + " " + strings.Repeat("x", size) + " "
 	hash := fnv.New32a()
 	_, _ = io.WriteString(hash, text) // a hash accepts any input
 	return text + strconv.FormatUint(uint64(hash.Sum32()), 16)
--- a/internal/faultsoak/sidecar.go
+++ b/internal/faultsoak/sidecar.go
@@ -19,9 +19,7 @@
 const (
 	readyTimeout      = 10 * time.Second // nine in ten restarted sidecars are ready within this
 	readyPollInterval = 20 * time.Millisecond
-	// killAfterTerm is when SIGKILL comes after SIGTERM: the longest deadline, at most 3 s, and 0.7 s.
-	killAfterTerm = 2*time.Second + 700*time.Millisecond
-	longAgo       = 24 * time.Hour
+	longAgo           = 24 * time.Hour
 )
 
 // sidecar is one sidecar: a process, and its successors at the same address.
@@ -33,6 +31,8 @@
 	settings json.RawMessage
 	agents   [2]*agentAddress // a reload switches between them
 
+	killAfter time.Duration // SIGTERM, at the earliest
+
 	lifecycle sync.Mutex // one restart at a time
 
 	mu           sync.Mutex
@@ -40,6 +40,7 @@
 	shim         *shim.Supervisor
 	expectedExit bool
 	killedAt     time.Time
+	killedTermAt time.Time // when the process that was killed got SIGTERM; zero: it did not
 	termAt       time.Time // zero: serving
 	serving      int       // of agents
 	reloadedAt   time.Time
@@ -66,6 +67,17 @@
 	return s.killedAt.After(since.Add(-labSlack))
 }
 
+// excuses reports whether a request that was sent at a time may be unanswered because the process was killed. One that came late
+// after SIGTERM may not: the sidecar had to close its connections before.
+func (s *sidecar) excuses(sentAt time.Time) bool {
+	if !s.killedSince(sentAt) {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.killedTermAt.IsZero() || sentAt.Before(s.killedTermAt.Add(owedAfterTerm+labSlack+s.records.slack))
+}
+
 func (s *sidecar) writeConfig() (string, error) {
 	s.mu.Lock()
 	current := s.agents[s.serving]
@@ -88,13 +100,22 @@
 
 // start starts a process under the shim and waits until it is ready.
 func (s *sidecar) start(ctx context.Context) error {
-	path, err := s.writeConfig()
+	process, err := s.launch()
 	if err != nil {
 		return err
 	}
+	return s.awaitReady(ctx, process)
+}
+
+// launch starts a process under the shim.
+func (s *sidecar) launch() (*proc.Process, error) {
+	path, err := s.writeConfig()
+	if err != nil {
+		return nil, err
+	}
 	pipes, err := shim.NewPipes()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer pipes.Close()
 	process, err := proc.Start(proc.Spec{
@@ -103,20 +124,21 @@
 		ExtraFiles: []*os.File{pipes.ChildNotify, pipes.ChildRelease},
 	})
 	if err != nil {
-		return err
+		return nil, err
 	}
 	pipes.ChildNotify.Close()
 	supervisor, err := shim.Supervise(process.PID(), pipes.Notify, pipes.Release)
 	if err != nil {
 		process.Kill()
-		return fmt.Errorf("%w; its log: %s", err, process.Log())
+		return nil, fmt.Errorf("%w; its log: %s", err, process.Log())
 	}
 	s.mu.Lock()
 	supervisor.StepClock(s.wallStep)
 	s.process, s.shim, s.expectedExit = process, supervisor, false
+	s.reloadedAt = time.Time{}
 	s.mu.Unlock()
 	go s.watchExit(process)
-	return s.awaitReady(ctx, process)
+	return process, nil
 }
 
 func (s *sidecar) logPath() string {
@@ -160,25 +182,34 @@
 	return nil
 }
 
-// terminate ends the process with SIGTERM and starts its successor.
-func (s *sidecar) terminate(ctx context.Context) error {
+// terminate ends the process with SIGTERM, among other signals, and starts its successor. It calls ended once the process has ended.
+func (s *sidecar) terminate(ctx context.Context, series signalSeries, ended func()) error {
 	s.lifecycle.Lock()
 	defer s.lifecycle.Unlock()
 	s.mu.Lock()
 	process := s.process
 	s.expectedExit, s.termAt = true, time.Now()
 	s.mu.Unlock()
-	_ = process.Signal(syscall.SIGTERM) // of a process that has ended there is nothing to end
+	series.send(process)
 	select {
 	case <-process.Done():
 		if err := process.Wait(); err != nil {
 			s.records.violate("crash", "", fmt.Sprintf("sidecar %d ended with %v after SIGTERM: %s", s.number, err, lastLine(process.Log())))
 		}
-	case <-time.After(killAfterTerm):
+	case <-time.After(s.killAfter):
 		s.markKilled()
+		s.mu.Lock()
+		s.killedTermAt = s.termAt
+		s.mu.Unlock()
 		process.Kill()
 	}
+	ended()
 	s.collectInjected()
+	if signal := series.early(); signal != nil {
+		if err := s.startInterrupted(ctx, signal); err != nil {
+			return err
+		}
+	}
 	return s.start(ctx)
 }
 
@@ -200,11 +231,11 @@
 func (s *sidecar) markKilled() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.killedAt = time.Now()
+	s.killedAt, s.killedTermAt = time.Now(), time.Time{}
 }
 
 // reload has the sidecar follow its other agent.
-func (s *sidecar) reload() error {
+func (s *sidecar) reload(series signalSeries) error {
 	s.lifecycle.Lock()
 	defer s.lifecycle.Unlock()
 	s.mu.Lock()
@@ -216,6 +247,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reloadedAt = time.Now()
+	if series == seriesTwice {
+		process := s.process
+		time.AfterFunc(secondReloadAfter, func() { _ = process.Signal(syscall.SIGHUP) }) // it may have ended
+	}
 	return s.process.Signal(syscall.SIGHUP)
 }
 
