--- a/balance/slow_start_test.go
+++ b/balance/slow_start_test.go
@@ -128,6 +128,18 @@
 // worstOverload is the most that a server in slow start received in a window, over what is allowed then with slack for
 // chance.
 func (f *slowStartFleet) worstOverload() (worstOverload float64, sends int) {
+	return f.worstOverloadWith(func(allowed float64) float64 { return 2*math.Sqrt(allowed) + 2 })
+}
+
+// standingTestSlack is what the standing test puts down to chance.
+func standingTestSlack(allowed float64) float64 {
+	if allowed < 30 {
+		return 3*math.Sqrt(allowed) + 3
+	}
+	return 2*math.Sqrt(allowed) + 2
+}
+
+func (f *slowStartFleet) worstOverloadWith(slack func(allowed float64) float64) (worstOverload float64, sends int) {
 	cfg, now := &f.balancers[0].config, f.now
 	for id, q := range f.queues {
 		sends += len(q.arrivals)
@@ -138,7 +150,7 @@
 			}
 			f.now = q.arrivals[i]
 			allowed := cfg.OverloadMultiple * f.capacity * f.currentCapacity(id) * cfg.OverloadDuration
-			worstOverload = math.Max(worstOverload, float64(n)/(allowed+2*math.Sqrt(allowed)+2))
+			worstOverload = math.Max(worstOverload, float64(n)/(allowed+slack(allowed)))
 		}
 	}
 	f.now = now
@@ -216,6 +228,28 @@
 	}
 }
 
+// The same at other sizes and on other draws, with the slack of the standing test: where a server may be sent a handful of
+// attempts in a window, the worst of hundreds of servers is further from the mean.
+func TestSlowStartBudgetHoldsOnOtherDraws(t *testing.T) {
+	for _, size := range [][2]int{{4, 8}, {12, 8}, {60, 40}, {120, 200}} {
+		for name, play := range slowStartScenarios {
+			for seed := int64(2); seed <= 4; seed++ {
+				t.Run(fmt.Sprintf("%s/%d sidecars/seed %d", name, size[0], seed), func(t *testing.T) {
+					cfg := baseConfig()
+					cfg.OverloadMultiple, cfg.OverloadDuration, cfg.SlowStartMinCapacity = 4, 2000, 0.12
+					f := newSlowStartFleet(t, cfg, seed, size[0], size[1])
+					f.simulate(1, 5000)
+					play(f)
+					f.simulate(1, f.now+3000)
+					if worst, sends := f.worstOverloadWith(standingTestSlack); worst > 1 || sends == 0 {
+						t.Errorf("%d sends to servers in slow start, in a window %.2f times those allowed", sends, worst)
+					}
+				})
+			}
+		}
+	}
+}
+
 func burstAfterLowTraffic(f *slowStartFleet) {
 	f.replace(len(f.servers) / 3)
 	f.simulate(0.1, f.now+4000)
