--- /dev/null
+++ b/internal/faultsoak/bad_clients.go
@@ -0,0 +1,156 @@
+package faultsoak
+
+import (
+	"io"
+	"net"
+	"strings"
+	"time"
+)
+
+// Clients that behave in ways that the platform allows them: they leave early, send much at once, stop in the middle of a request or
+// only hold connections.
+
+// leave sends a request and closes the connection before the answer, or its sending side.
+func (c *clients) leave(random *generator) {
+	record := c.newRequest("leaving", random)
+	conn := c.connect(false)
+	if conn == nil {
+		return
+	}
+	defer conn.Close()
+	c.records.addRequest(record)
+	if _, err := io.WriteString(conn, record.encode()); err != nil {
+		c.records.update(func() { record.Outcome = outcomeUnreachable })
+		return
+	}
+	c.records.update(func() { record.SentAt = time.Now() })
+	time.Sleep(time.Duration(random.Float64() * random.Float64() * float64(record.Timeout)))
+	if random.IntN(3) == 0 {
+		_ = conn.Conn.(*net.TCPConn).CloseWrite() // fails only if the sidecar has closed the connection
+	} else {
+		conn.Close()
+	}
+	c.records.update(func() { record.Outcome, record.DisconnectedAt = outcomeDisconnected, time.Now() })
+	time.Sleep(badClientLimit / 10)
+}
+
+// flood sends many requests at once and closes the connection.
+func (c *clients) flood(random *generator) {
+	conn := c.connect(true)
+	if conn == nil {
+		return
+	}
+	var text strings.Builder
+	var sent []*requestRecord
+	for range 2 + random.IntN(floodRequests) {
+		record := c.newRequest("flood", random)
+		c.records.addRequest(record)
+		sent = append(sent, record)
+		text.WriteString(record.encode())
+	}
+	_ = conn.SetWriteDeadline(time.Now().Add(badClientLimit / 10))
+	_, _ = io.WriteString(conn, text.String()) // what it wrote is enough
+	conn.Close()
+	disconnectedAt := time.Now()
+	c.records.update(func() {
+		for _, record := range sent {
+			record.SentAt, record.DisconnectedAt, record.Outcome = disconnectedAt, disconnectedAt, outcomeDisconnected
+		}
+	})
+}
+
+// pipeline sends several requests at once and reads their answers in order.
+func (c *clients) pipeline(random *generator) {
+	conn := c.connect(random.IntN(2) == 0)
+	if conn == nil {
+		return
+	}
+	var text strings.Builder
+	var sent []*requestRecord
+	for range 2 + random.IntN(pipelineRequests) {
+		record := c.newRequest("pipelined", random)
+		c.records.addRequest(record)
+		sent = append(sent, record)
+		text.WriteString(record.encode())
+	}
+	_, err := io.WriteString(conn, text.String())
+	sentAt := time.Now()
+	c.records.update(func() {
+		for _, record := range sent {
+			record.SentAt = sentAt
+		}
+	})
+	answered := 0
+	for err == nil && answered < len(sent) {
+		if err = c.readAnswer(conn, sent[answered]); err == nil {
+			answered++
+			if conn.closing {
+				err = io.EOF
+			}
+		}
+	}
+	if answered == len(sent) {
+		if conn.closing {
+			conn.Close()
+		} else {
+			c.release(conn)
+		}
+		return
+	}
+	conn.Close()
+	crossed := conn.reused && answered == 0 && !timedOut(err) && !c.sidecar.killedSince(sentAt)
+	for _, record := range sent[answered:] {
+		if crossed { // the close crossed them all; sending them again is nothing that the soak needs
+			c.records.update(func() { record.Outcome, record.resentAt = outcomeUnreachable, time.Now() })
+			continue
+		}
+		c.fail(record, err, sentAt)
+	}
+}
+
+// stop sends a part of a request and waits for the error or the close that it is owed.
+func (c *clients) stop(random *generator) {
+	conn := c.connect(true)
+	if conn == nil {
+		return
+	}
+	defer conn.Close()
+	record := c.newRequest("stopped", random)
+	text := record.encode()
+	if _, err := io.WriteString(conn, text[:1+random.IntN(len(text)-1)]); err != nil {
+		return
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(badClientLimit + labSlack + c.records.slack))
+	if _, err := conn.reader.ReadByte(); timedOut(err) && !c.sidecar.killedSince(time.Now().Add(-badClientLimit)) {
+		c.records.violate("bad_client", record.ID, "a client that stopped in the middle of a request got neither error nor close")
+	}
+}
+
+// crowd opens so many idle connections that the sidecar's descriptors do not suffice.
+func (c *clients) crowd(until time.Time) {
+	c.mu.Lock()
+	c.crowdedUntil = laterOf(c.crowdedUntil, until.Add(clientDialTimeout))
+	c.mu.Unlock()
+	c.hold(crowdConnections, until)
+}
+
+// crowded reports whether there is a crowd, or was one a moment ago: new connections may be shut unread then.
+func (c *clients) crowded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Before(c.crowdedUntil)
+}
+
+// hold opens idle connections for a time.
+func (c *clients) hold(count int, until time.Time) {
+	var idle []net.Conn
+	for range count {
+		if conn, err := net.DialTimeout("tcp", c.sidecar.address, clientDialTimeout); err == nil {
+			idle = append(idle, conn)
+		}
+	}
+	time.Sleep(time.Until(until))
+	for _, conn := range idle {
+		conn.Close()
+	}
+}
--- a/internal/faultsoak/inject.go
+++ b/internal/faultsoak/inject.go
@@ -53,7 +53,7 @@
 func (s *soak) terminate(planned fault) error {
 	target, of := s.sidecars[planned.Sidecar], s.clients[planned.Sidecar]
 	random := s.generator("ending", planned.Sidecar, int(planned.At))
-	of.rest(random)
+	of.openIdle(random)
 	ended := make(chan struct{})
 	var using sync.WaitGroup
 	using.Go(func() { of.useOpen(ended, random) })
--- a/internal/faultsoak/records.go
+++ b/internal/faultsoak/records.go
@@ -36,15 +36,15 @@
 	for i := range classes {
 		longest = max(longest, classes[i].deadline)
 	}
-	return min(longest, maxDeadlineCounted) + owedAfterTerm
+	return min(longest, maxDeadlineCounted) + graceAfterTerm
 }
 
 const (
 	// maxDeadlineCounted is the most that a deadline counts for until SIGKILL, by the protocol.
 	maxDeadlineCounted = 3 * time.Second
-	// owedAfterTerm is by how much SIGKILL comes later than the longest deadline. What comes later than this after SIGTERM and is
+	// graceAfterTerm is by how much SIGKILL comes later than the longest deadline. What comes later than this after SIGTERM and is
 	// unanswered when SIGKILL comes is lost.
-	owedAfterTerm = 700 * time.Millisecond
+	graceAfterTerm = 700 * time.Millisecond
 )
 
 // requestRecord is what is known of one request.
--- a/internal/faultsoak/sidecar.go
+++ b/internal/faultsoak/sidecar.go
@@ -75,7 +75,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.killedTermAt.IsZero() || sentAt.Before(s.killedTermAt.Add(owedAfterTerm+labSlack+s.records.slack))
+	return s.killedTermAt.IsZero() || sentAt.Before(s.killedTermAt.Add(graceAfterTerm+labSlack+s.records.slack))
 }
 
 func (s *sidecar) writeConfig() (string, error) {
--- a/internal/knownred/list.go
+++ b/internal/knownred/list.go
@@ -30,11 +30,11 @@
 
 // entry is one known failure.
 type entry struct {
-	Kind    entryKind
-	Test    string // name of a Go test, or noTest
-	Command string
-	Seen    string
-	Issue   string
+	Kind     entryKind
+	Test     string // name of a Go test, or noTest
+	Command  string
+	Observed string
+	Issue    string
 }
 
 var (
@@ -81,7 +81,7 @@
 		return entry{}, fmt.Errorf("it has no command")
 	case parsed.Test != noTest && !strings.Contains(parsed.Command, parsed.Test):
 		return entry{}, fmt.Errorf("its command does not run %s", parsed.Test)
-	case parsed.Seen == "":
+	case parsed.Observed == "":
 		return entry{}, fmt.Errorf("it does not say what was seen")
 	case !issueForm.MatchString(parsed.Issue):
 		return entry{}, fmt.Errorf("issue %q, want \"issue N\"", parsed.Issue)
--- a/internal/knownred/play.go
+++ b/internal/knownred/play.go
@@ -70,7 +70,7 @@
 	if !failed {
 		verdict = "passed"
 	}
-	fmt.Fprintf(out, "known red, %s: %s: %s (%s); now: %s\n", listed.Kind, listed.name(), listed.Seen, listed.Issue, verdict)
+	fmt.Fprintf(out, "known red, %s: %s: %s (%s); now: %s\n", listed.Kind, listed.name(), listed.Observed, listed.Issue, verdict)
 	if listed.Kind == failsAlways && !failed {
 		return fmt.Errorf("%s passes: take it off the list", listed.name())
 	}
