--- a/internal/sidecar/client_conn_test.go
+++ b/internal/sidecar/client_conn_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
