Registry: a new leader tries again to establish itself while it still leads

What callers saw: after an election on a slow disk every write is answered with 503 "there is no leader", for as long as the leader lives. Not observed in service; found by reading what the wait after a start depends on.

Cause: monitorLeadership took a failed attempt (raft's "timed out enqueuing operation") for a lost leadership and waited for the next change of it, which nothing brings about.

Why this mend holds: it tries again every 200 ms as long as raft says that it leads, and the first epoch is part of the attempt.

--- a/internal/registry/freshness_test.go
+++ b/internal/registry/freshness_test.go
@@ -21,17 +21,9 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = replica.Close() }) // nothing is left to be lost
-	await := func(condition string, done func() bool) {
-		t.Helper()
-		for deadline := time.Now().Add(30 * time.Second); !done(); time.Sleep(time.Millisecond) {
-			if time.Now().After(deadline) {
-				t.Fatal("not within 30 s: " + condition)
-			}
-		}
-	}
-	await("it leads", func() bool { return replica.stateKnown.Load() && replica.isLeader.Load() })
+	awaitCondition(t, "it leads", func() bool { return replica.stateKnown.Load() && replica.isLeader.Load() })
 	replica.cancel()
-	await("its loop has ended", func() bool { return !replica.isLeader.Load() })
+	awaitCondition(t, "its loop has ended", func() bool { return !replica.isLeader.Load() })
 	replica.isLeader.Store(true)
 
 	const heldUp = 300 * time.Millisecond
@@ -48,3 +40,13 @@
 		t.Errorf("held up for %v after the check it calls its state %v old", heldUp, age)
 	}
 }
+
+// awaitCondition waits for a condition that has to come true.
+func awaitCondition(t *testing.T, condition string, done func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(30 * time.Second); !done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("not within 30 s: " + condition)
+		}
+	}
+}
--- a/internal/registry/leadership.go
+++ b/internal/registry/leadership.go
@@ -4,11 +4,15 @@
 	"crypto/rand"
 	"encoding/binary"
 	"time"
+
+	"github.com/hashicorp/raft"
 )
 
 const (
 	verifyInterval = 200 * time.Millisecond // between two verifications of the leadership
 	sweepInterval  = 100 * time.Millisecond // between two searches for expired leases
+	// establishRetryInterval is the time between two attempts of a replica that leads to establish its leadership.
+	establishRetryInterval = 200 * time.Millisecond
 )
 
 // monitorLeadership runs what only the leader does whenever this replica is the leader, until the replica ends.
@@ -24,19 +28,38 @@
 				continue
 			}
 		}
-		if err := r.establishLeadership(); err != nil {
-			r.logger.Warn("leadership not established", "error", err)
-			continue
+		if r.establishLeadershipWithRetry() {
+			r.leaderLoop(leaderChanges)
 		}
-		r.leaderLoop(leaderChanges)
 		r.isLeader.Store(false)
 	}
 }
 
+// establishLeadershipWithRetry tries for as long as this replica leads, and reports whether it has succeeded. A slow disk may fail an
+// attempt while the others still follow this replica, and no election follows from that.
+func (r *Replica) establishLeadershipWithRetry() bool {
+	for {
+		err := r.establishLeadership()
+		if err == nil {
+			return true
+		}
+		r.isLeader.Store(false)
+		r.logger.Warn("leadership not established", "error", err)
+		select {
+		case <-r.ctx.Done():
+			return false
+		case <-time.After(establishRetryInterval):
+		}
+		if r.raft.State() != raft.Leader {
+			return false
+		}
+	}
+}
+
 // establishLeadership waits until the records of earlier leaders are applied, and grants every lease its full time again.
 func (r *Replica) establishLeadership() error {
 	startedAt := r.uptime()
-	if err := r.raft.Barrier(applyTimeout).Error(); err != nil {
+	if err := r.awaitBarrier(); err != nil {
 		return err
 	}
 	r.recordVerified(startedAt)
--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -84,6 +84,7 @@
 
 	// Used by the leader only.
 	verifyLeader         func() error // asks a majority whether this replica still leads; tests hold it up
+	awaitBarrier         func() error // waits until the records of earlier leaders are applied; tests have it fail
 	isLeader             atomic.Bool  // the leadership is established: earlier records are applied
 	verifiedAt           atomic.Int64 // uptime, in ns, at which the leadership was last verified
 	registrations        *registrationTracker
@@ -100,7 +101,10 @@
 }
 
 // Open starts a replica, from its data directory or as a member of a new cluster.
-func Open(options Options) (*Replica, error) {
+func Open(options Options) (*Replica, error) { return openWith(options, func(*Replica) {}) }
+
+// openWith is Open with a change to the replica before anything runs.
+func openWith(options Options, change func(*Replica)) (*Replica, error) {
 	for name, address := range map[string]string{"http": options.HTTPAddr, "raft": options.RaftAddr} {
 		if err := CheckLoopback(name, address); err != nil {
 			return nil, err
@@ -108,6 +112,7 @@
 	}
 	options.setDefaults()
 	replica := newReplica(options)
+	change(replica)
 	// The HTTP address is bound first: a replica that clients cannot reach must not vote.
 	listener, err := sockets.Listen("tcp", options.HTTPAddr)
 	if err != nil {
@@ -142,6 +147,7 @@
 		fatal:                make(chan error, 1),
 	}
 	replica.verifyLeader = func() error { return replica.raft.VerifyLeader().Error() }
+	replica.awaitBarrier = func() error { return replica.raft.Barrier(applyTimeout).Error() }
 	replica.metrics = newMetrics(replica)
 	replica.ctx, replica.cancel = context.WithCancel(context.Background())
 	return replica
