--- a/internal/faultsoak/sidecar.go
+++ b/internal/faultsoak/sidecar.go
@@ -244,6 +244,9 @@
 	if _, err := s.writeConfig(); err != nil {
 		return err
 	}
+	if series == seriesUnreadableFile {
+		s.addRule(shim.Rule{Call: shim.OpenAt, Errno: syscall.ENFILE, Share: 1, Until: time.Now().Add(unreadableFor)})
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reloadedAt = time.Now()
--- a/internal/faultsoak/signals.go
+++ b/internal/faultsoak/signals.go
@@ -18,18 +18,20 @@
 	seriesReloadBefore     signalSeries = "SIGHUP just before"
 	seriesReloadAfter      signalSeries = "SIGHUP just after"
 	seriesTwice            signalSeries = "twice"
+	seriesUnreadableFile   signalSeries = "while the file cannot be read"
 	seriesEarlyTermination signalSeries = "SIGTERM to the successor as it starts"
 	seriesEarlyKill        signalSeries = "SIGKILL to the successor as it starts"
 )
 
 var (
 	terminationSeries = []signalSeries{seriesPlain, seriesReloadBefore, seriesReloadAfter, seriesTwice, seriesEarlyTermination, seriesEarlyKill}
-	reloadSeries      = []signalSeries{seriesPlain, seriesTwice}
+	reloadSeries      = []signalSeries{seriesPlain, seriesTwice, seriesUnreadableFile}
 )
 
 const (
 	secondTermAfter   = 300 * time.Millisecond
 	secondReloadAfter = 2 * time.Millisecond
+	unreadableFor     = 300 * time.Millisecond
 	earlySignalAfter  = 15 * time.Millisecond // a sidecar is ready some time later
 )
 
