Soak: a request that is written in two parts around a kill is not taken

The oracle excused only what was sent up to 0.15 s after a kill; it goes by the first part now. A request that is begun after the kill is not excused, nor one that came late after SIGTERM.

--- a/internal/faultsoak/clients.go
+++ b/internal/faultsoak/clients.go
@@ -161,6 +161,7 @@
 	if conn == nil {
 		return
 	}
+	record.beganAt = time.Now()
 	c.records.addRequest(record)
 	text := record.encode()
 	if slowBy > 0 {
@@ -187,7 +188,7 @@
 		return
 	}
 	conn.Close()
-	resend := conn.reused && !timedOut(err) && !c.sidecar.killedSince(sentAt)
+	resend := conn.reused && !timedOut(err) && !c.sidecar.killedSince(record.began(sentAt))
 	if !conn.reused && !timedOut(err) && c.crowded() {
 		c.records.update(func() { record.Outcome = outcomeShutUnread })
 		return
@@ -223,7 +224,7 @@
 func (c *clients) fail(record *requestRecord, err error, sentAt time.Time) {
 	outcome := outcomeClosed
 	switch {
-	case c.sidecar.excuses(sentAt):
+	case c.sidecar.excuses(record.began(sentAt), sentAt):
 		outcome = outcomeExcused
 	case timedOut(err):
 		outcome = outcomeSilent
--- a/internal/faultsoak/records.go
+++ b/internal/faultsoak/records.go
@@ -55,6 +55,7 @@
 	Kind    string // of client
 	Timeout time.Duration
 	SentAt  time.Time // its last byte was written; zero: it never was
+	beganAt time.Time // its first part was written, of one that is written slowly; zero: it is written at once
 	key     int       // of the client's data
 	size    int       // of the body
 
@@ -69,6 +70,14 @@
 	Executions     []execution
 }
 
+// began is when a request's first byte was written, by when its last one was.
+func (r *requestRecord) began(sentAt time.Time) time.Time {
+	if r.beganAt.IsZero() {
+		return sentAt
+	}
+	return r.beganAt
+}
+
 // outcome is how a request ended for its client.
 type outcome string
 
--- a/internal/faultsoak/sidecar.go
+++ b/internal/faultsoak/sidecar.go
@@ -67,10 +67,10 @@
 	return s.killedAt.After(since.Add(-labSlack))
 }
 
-// excuses reports whether a request that was sent at a time may be unanswered because the process was killed. One that came late
-// after SIGTERM may not: the sidecar had to close its connections before.
-func (s *sidecar) excuses(sentAt time.Time) bool {
-	if !s.killedSince(sentAt) {
+// excuses reports whether a request may be unanswered because the process was killed, by when its first and its last byte were
+// written. One that came late after SIGTERM may not: the sidecar had to close its connections before.
+func (s *sidecar) excuses(beganAt, sentAt time.Time) bool {
+	if !s.killedSince(beganAt) {
 		return false
 	}
 	s.mu.Lock()
