--- a/balance/capacity.go
+++ b/balance/capacity.go
@@ -25,12 +25,8 @@
 
 // capacityWeight is the weight of a server in good health after its slow start.
 func (b *Balancer) capacityWeight(s *server) float64 {
-	return b.sizeWeight(s) * math.Exp(s.logCapacity)
-}
-
-// sizeWeight is capacityWeight without what was learned of this server alone.
-func (b *Balancer) sizeWeight(s *server) float64 {
-	return baseWeight * s.RelativeCapacity * math.Exp(b.capacity.byKind[s.Kind]+b.capacity.byZone[s.Zone])
+	logCapacity := s.logCapacity + b.capacity.byKind[s.Kind] + b.capacity.byZone[s.Zone]
+	return baseWeight * s.RelativeCapacity * math.Exp(logCapacity)
 }
 
 // groupFactor is what the weights of the servers of one kind and zone have in common.
@@ -72,11 +68,9 @@
 	if b.config.KeyAffinity {
 		b.refreshPool(poolBudgetTTL)
 	}
-	// Nothing is learned of a server in slow start, but a load that rises has all others learned to be slow.
-	weight := s.weight * math.Exp(-s.logCapacity)
-	poolWeight := max(pool.usable, pool.answeringWeight()/recentPoolMargin, weight)
+	poolWeight := max(pool.usable, pool.answeringWeight()/recentPoolMargin, s.weight)
 	servedRate := math.Min(b.answerRate(1), b.requestRate())
-	refillRate := servedRate * weight / poolWeight * math.Max(1, b.config.OverloadMultiple/2)
+	refillRate := servedRate * s.weight / poolWeight * math.Max(1, b.config.OverloadMultiple/2)
 	budget := refillRate * b.config.OverloadDuration / 2
 	scarce := budget < 0.5 // a token at each sidecar would be too many
 	maxTokens := math.Max(1, budget/2)
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -18,7 +18,7 @@
 // slowStartPool is what a server's share of the answers is taken of for its budget in slow start: without key affinity the
 // servers of this sidecar's own order up to the last of its rotation, ejected and excluded ones included, else all ready
 // servers. A sidecar that passes over a server uses one more behind it, so each of those is in the rotation of more sidecars.
-// Health does not count, nor what was learned of one server alone: the answers of overloaded servers do not fall as far.
+// Health does not count: the answers of overloaded servers do not fall as far as their health.
 type slowStartPool struct {
 	poolSums
 	updatedAt      float64
@@ -38,7 +38,7 @@
 	if s.State != Ready {
 		return
 	}
-	full := b.sizeWeight(s)
+	full := b.capacityWeight(s)
 	if b.inOwnZone(s) {
 		full *= zoneFactor
 	}
