sidecar: the trace and the counters tell why a connection was not reused

Cause: the counters gave one number for all idle connections that could not carry a request, and the trace named no connection. So neither told whether a server had closed it, had sent more than its response, or the learned idle time limit ruled it out, nor which attempts shared one.

Change: counters upstream_conn_reused, upstream_conn_too_idle and upstream_conn_surplus beside those that exist. At NODE_LOG_LEVEL=debug each written attempt has its connection and the time since the previous response on it, each exchange its end (result, elapsed, kept or closed) before a retry can begin, and each idle connection that is not reused its reason. No decision changes.

--- a/internal/sidecar/client_read.go
+++ b/internal/sidecar/client_read.go
@@ -160,9 +160,16 @@
 }
 
 // openAndEmpty reports whether the peer has not closed a connection and its socket holds no unread bytes.
-func openAndEmpty(conn net.Conn) bool {
+func openAndEmpty(conn net.Conn) bool { return errors.Is(peekConn(conn), syscall.EAGAIN) }
+
+// peekConn returns the error that the next read of a connection would return, or nil if bytes are available. It consumes no
+// bytes and does not block: syscall.EAGAIN means that the connection is open and empty.
+func peekConn(conn net.Conn) error {
 	rawConn, err := conn.(*net.TCPConn).SyscallConn()
-	return err == nil && errors.Is(peekRead(rawConn), syscall.EAGAIN)
+	if err != nil {
+		return err
+	}
+	return peekRead(rawConn)
 }
 
 // peekRead returns the error that the next read would return, or nil if bytes are available. It consumes no bytes.
--- a/internal/sidecar/conn_pool.go
+++ b/internal/sidecar/conn_pool.go
@@ -10,6 +10,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"milldeck/balance"
@@ -133,20 +134,56 @@
 			break
 		}
 		conn.idleTime = time.Since(conn.idleSince)
-		if p.usable(conn) {
+		reason := p.unusableReason(conn)
+		if reason == reusableConn {
+			p.guard.monitor.count(upstreamConnReused)
 			return conn, true, nil
 		}
-		p.guard.monitor.count(upstreamConnUnusable)
-		p.discard(conn)
+		p.discardUnusable(conn, reason)
 	}
 	conn, err = p.dial(ctx, upstream, deadline)
 	return conn, false, err
 }
 
-// usable reports whether an idle connection can carry a request. If the server has closed it, the request would be reset. If
-// the server has sent surplus bytes after its last response, they would be read as the response to the request.
-func (p *connPool) usable(conn *upstreamConn) bool {
-	return conn.idleTime < p.idleTimeLimit(conn.upstream) && conn.reader.Buffered() == 0 && openAndEmpty(conn.Conn)
+// unusableReason is why an idle connection cannot carry a request.
+type unusableReason string
+
+const (
+	reusableConn   unusableReason = ""
+	idleForTooLong unusableReason = "idle for too long" // the server may be closing it; the request would be reset
+	surplusBytes   unusableReason = "surplus bytes"     // after the last response; they would be read as the next one
+	closedByServer unusableReason = "closed by server"
+)
+
+func (p *connPool) unusableReason(conn *upstreamConn) unusableReason {
+	if conn.idleTime >= p.idleTimeLimit(conn.upstream) {
+		return idleForTooLong
+	}
+	if conn.reader.Buffered() > 0 {
+		return surplusBytes
+	}
+	switch err := peekConn(conn.Conn); {
+	case err == nil:
+		return surplusBytes
+	case errors.Is(err, syscall.EAGAIN):
+		return reusableConn
+	default:
+		return closedByServer
+	}
+}
+
+// discardUnusable closes a connection that was idle in the pool and cannot carry a request.
+func (p *connPool) discardUnusable(conn *upstreamConn, reason unusableReason) {
+	p.guard.monitor.count(upstreamConnUnusable)
+	switch reason {
+	case idleForTooLong:
+		p.guard.monitor.count(upstreamConnTooIdle)
+	case surplusBytes:
+		p.guard.monitor.count(upstreamConnSurplus)
+	case closedByServer, reusableConn:
+	}
+	traceUnusable(conn, reason)
+	p.discard(conn)
 }
 
 // dial opens a connection, within the limit on open connections.
--- a/internal/sidecar/monitor.go
+++ b/internal/sidecar/monitor.go
@@ -31,7 +31,10 @@
 	clientConnClosed                            // by net/http: disconnect of the client, timeout, or last response
 	upstreamConnDialed                          //
 	upstreamConnDialFailed                      //
-	upstreamConnUnusable                        // the server has closed the connection, or has sent more than its response
+	upstreamConnReused                          // for another request
+	upstreamConnUnusable                        // for any unusableReason
+	upstreamConnTooIdle                         // unusable, as it was idle for longer than the learned limit
+	upstreamConnSurplus                         // unusable, as the server has sent more than its response
 	upstreamConnExpired                         // idle for too long
 	upstreamConnEvicted                         // to free a descriptor for another connection
 	upstreamConnWithdrawn                       // server draining, removed or restarted; action of the balancer; end of the sidecar
@@ -47,7 +50,8 @@
 	"abandoned_by_client", "rejected_malformed", "rejected_body_memory", "rejected_in_flight",
 	"attempt_first", "attempt_retry", "attempt_not_sent",
 	"client_conn_accepted", "client_conn_evicted_for_new", "client_conn_evicted_idle", "client_conn_shut_by_drain", "client_conn_closed",
-	"upstream_conn_dialed", "upstream_conn_dial_failed", "upstream_conn_unusable", "upstream_conn_expired",
+	"upstream_conn_dialed", "upstream_conn_dial_failed",
+	"upstream_conn_reused", "upstream_conn_unusable", "upstream_conn_too_idle", "upstream_conn_surplus", "upstream_conn_expired",
 	"upstream_conn_evicted", "upstream_conn_withdrawn", "upstream_conn_ended",
 	"accept_failed", "watch_failed", "reload_failed",
 }
--- a/internal/sidecar/trace.go
+++ b/internal/sidecar/trace.go
@@ -35,10 +35,29 @@
 		"server", decided.upstream.address, "after", reason)
 }
 
-func traceWritten(written *attempt, timeout time.Duration, reused bool) {
+// traceWritten logs a completely written attempt. connection is the local address of its connection, which is unique among the
+// open ones; idle is the time since the previous response on it, 0 on a new one.
+func traceWritten(written *attempt, timeout time.Duration, conn *upstreamConn) {
 	if traceEnabled() {
 		traceLog.Debug("attempt written", "request", written.call.clientID, "attempt", written.number,
-			"server", written.upstream.address, "timeout", timeout, "reused", reused)
+			"server", written.upstream.address, "timeout", timeout, "reused", conn.idleTime > 0,
+			"connection", conn.LocalAddr().String(), "idle", conn.idleTime)
+	}
+}
+
+// traceExchangeEnded logs the end of an attempt at its connection, which is either idle again (kept) or closed.
+func traceExchangeEnded(ended *attempt, conn *upstreamConn, result balance.Result, elapsed time.Duration, kept bool) {
+	if ended != nil && traceEnabled() {
+		traceLog.Debug("exchange ended", "request", ended.call.clientID, "attempt", ended.number,
+			"server", conn.upstream.address, "connection", conn.LocalAddr().String(),
+			"result", resultNames[result], "elapsed", elapsed, "kept", kept)
+	}
+}
+
+func traceUnusable(conn *upstreamConn, reason unusableReason) {
+	if traceEnabled() {
+		traceLog.Debug("connection not reused", "server", conn.upstream.address, "connection", conn.LocalAddr().String(),
+			"reason", string(reason), "idle", conn.idleTime)
 	}
 }
 
--- a/internal/sidecar/upstream_exchange.go
+++ b/internal/sidecar/upstream_exchange.go
@@ -106,16 +106,19 @@
 		idleTime := conn.idleTime
 		writtenAt := time.Now()
 		result, reusable := p.readResponse(ctx, conn)
+		elapsed := time.Since(writtenAt)
 		if reused {
-			p.learnIdleTimeLimit(upstream, idleTime, result.outcome, time.Since(writtenAt))
+			p.learnIdleTimeLimit(upstream, idleTime, result.outcome, elapsed)
 		}
 		conn.lastOutcome = result.outcome
-		if stopCancel() && reusable {
+		kept := stopCancel() && reusable
+		if kept {
 			p.returnIdle(conn)
 		} else {
 			p.guard.monitor.count(upstreamConnEnded)
 			p.discard(conn)
 		}
+		traceExchangeEnded(attempt, conn, result.outcome, elapsed, kept)
 		return result
 	}
 }
@@ -177,7 +180,7 @@
 	if complete && attempt != nil {
 		attempt.fullyWritten.Store(true)
 		guard.checkWritten(attempt, remaining, time.Now())
-		traceWritten(attempt, remaining, conn.idleTime > 0)
+		traceWritten(attempt, remaining, conn)
 	}
 	return complete, err
 }
