sidecar: the learned idle time limit stays above the reuse delay and recovers by time

What callers saw: more attempts that waited for a new connection, of which some servers never answer.

Cause: learnIdleTimeLimit lowered the limit of a server to 0.7 of the idle time of a connection that was reset within 10 ms of a write, down to 20 ms. Most such resets have other causes than an idle connection that the server closes. A limit below the delay that a connection has to be idle for (25 ms after an error) rules out every reuse, and only a reuse raised the limit: it stayed there for good.

Change: the limit has a type of its own (idleTimeLimit). Its lower bound is three reuse delays; a reset after a shorter idle time is no evidence. It doubles in 30 s without evidence, so a limit finds its way up where no connection is idle for long enough to prove it. A reset lowers and a success raises it as before. Both constants are chosen, not measured: 30 s bounds the resets that a trial of a longer idle time costs to a few a minute for each server.

Measured: TestResetsDoNotRuleOutReuse fails with the lower bound of before ("connections are reused after 25ms to 20ms idle"). New tests and those of the pool: -race -count=20 passed. Tests of the package: only the known TestLateErrorAfterSuccessIsNotReused fails.

--- a/internal/sidecar/conn_pool.go
+++ b/internal/sidecar/conn_pool.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -29,17 +28,6 @@
 	reuseDelayAfterError = 25 * time.Millisecond
 )
 
-// Some servers close idle connections much sooner than the settings say, and reset the connection if a request arrives at
-// that moment. After the reset the request counts as possibly executed, so the pool avoids writing to connections that a
-// server may be closing: a reset soon after the write lowers the limit on the idle time of the server's connections, and
-// successful reuses near the limit raise it slowly.
-const (
-	staleResetWindow = 10 * time.Millisecond // from the last byte written to the reset; a later reset has other causes
-	minIdleTime      = 20 * time.Millisecond // lower bound of the limit
-	idleTimeDecrease = 0.7                   // after a reset: the limit as a fraction of the connection's idle time
-	idleTimeIncrease = 1.02                  // after a successful reuse: factor by which the limit grows
-)
-
 var errNoSocketAvailable = errors.New("no socket is available")
 
 // upstreamHost is one incarnation of a server's process, as discovery lists it. A restart or a new address creates a new
@@ -55,8 +43,8 @@
 	retired atomic.Bool // draining, removed or restarted: no new request is sent to it
 
 	// The pool's mutex guards the fields below.
-	idleConns          []*upstreamConn // longest idle first
-	learnedIdleTimeout time.Duration   // 0: the limit from the settings applies
+	idleConns []*upstreamConn // longest idle first
+	idleLimit idleTimeLimit
 }
 
 // upstreamConn is a connection to a server. It carries one request at a time.
@@ -211,7 +199,7 @@
 func (p *connPool) idleTimeLimit(upstream *upstreamHost) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return cmp.Or(upstream.learnedIdleTimeout, p.maxIdleTime)
+	return upstream.idleLimit.at(time.Now(), p.maxIdleTime)
 }
 
 // learnIdleTimeLimit adjusts the idle time limit of a server by the result of an exchange on a reused connection. idleTime
@@ -220,12 +208,12 @@
 func (p *connPool) learnIdleTimeLimit(upstream *upstreamHost, idleTime time.Duration, result balance.Result, elapsed time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	limit := cmp.Or(upstream.learnedIdleTimeout, p.maxIdleTime)
+	now := time.Now()
 	switch {
-	case result == balance.Reset && elapsed < staleResetWindow && idleTime >= minIdleTime:
-		upstream.learnedIdleTimeout = max(min(limit, time.Duration(idleTimeDecrease*float64(idleTime))), minIdleTime)
-	case result == balance.OK && upstream.learnedIdleTimeout > 0 && idleTime > limit/2:
-		upstream.learnedIdleTimeout = min(time.Duration(idleTimeIncrease*float64(limit)), p.maxIdleTime)
+	case result == balance.Reset && elapsed < staleResetWindow:
+		upstream.idleLimit.lower(now, p.maxIdleTime, idleTime)
+	case result == balance.OK:
+		upstream.idleLimit.raise(now, p.maxIdleTime, idleTime)
 	}
 }
 
