sidecar: connections rest for 25 ms after every response, so late errors are found

What callers saw: after a server had sent an error 3 to 20 ms behind a success, the next request on the connection was executed twice, an unsafe one too if the error was a 503 with X-Not-Processed, or it was served and its caller was told that it had failed.

Fix: 25 ms after every response; the exception after errors and the outcome that each connection remembered for it are gone. Surplus bytes are found before anything is written.

--- a/internal/faultsoak/late_errors.go
+++ b/internal/faultsoak/late_errors.go
@@ -9,8 +9,8 @@
 // This file has the faults that tempt a sidecar to send a request again while an attempt is out: a response that is followed by an
 // error on the same connection, and requests that cross the close of an idle connection.
 
-// respondTwice responds to a request and sends an error on the same connection: up to maxLateError later if the first response is
-// an error, which the second one repeats, or up to maxSecondResponse later if it is the success of the server. After a 500 the server goes on executing the request.
+// respondTwice responds to a request and sends an error on the same connection up to maxLateError later. The first response is an
+// error, which the second one repeats, or the success of the server. After a 500 the server goes on executing the request.
 func (l *link) respondTwice(conn *proxiedConn, request *http.Request, body []byte) (reusable bool) {
 	late := errorResponse
 	if l.lateRandom.IntN(2) == 0 {
@@ -20,7 +20,6 @@
 	delay := l.lateRandom.Below(maxLateError)
 	switch {
 	case l.lateRandom.IntN(2) == 0:
-		delay = min(delay, maxSecondResponse) // later, the sidecar cannot tell it from the response to the next request
 		status, notProcessed, response, err := l.forward(conn, request, body)
 		if err != nil {
 			return conn.reset()
--- a/internal/sidecar/conn_pool.go
+++ b/internal/sidecar/conn_pool.go
@@ -19,13 +19,9 @@
 const (
 	// idleTimeoutFraction is the part of the servers' configured idle timeout after which the pool closes an idle connection.
 	idleTimeoutFraction = 0.85
-	// reuseDelay is the minimum idle time before a connection is reused after a success. During this time, surplus bytes that a
-	// server sends after its response arrive and are detected; otherwise they would be read as the response to the next request.
-	reuseDelay = 3 * time.Millisecond
-	// reuseDelayAfterError takes the place of reuseDelay after a response that is no success. A late copy of it that is read as
-	// the response to the next request would have that request sent again while the server executes it. To close the connection
-	// instead would cost a new one for each error of an overloaded server.
-	reuseDelayAfterError = 25 * time.Millisecond
+	// reuseDelay is the minimum idle time before a connection is reused. During this time, surplus bytes that a server sends after
+	// its response arrive and are detected; otherwise they would be read as the response to the next request.
+	reuseDelay = 25 * time.Millisecond
 )
 
 var errNoSocketAvailable = errors.New("no socket is available")
@@ -56,9 +52,8 @@
 
 	readDeadline time.Time // of the current exchange
 
-	lastOutcome balance.Result // of the previous exchange
-	idleSince   time.Time
-	idleTime    time.Duration // time without a request before the current exchange
+	idleSince time.Time
+	idleTime  time.Duration // time without a request before the current exchange
 }
 
 // byteBudget limits how many bytes are reserved at a time, for example for all bodies in memory.
@@ -217,21 +212,13 @@
 	}
 }
 
-// minIdleTimeOf returns how long a connection must be idle before it is reused.
-func (p *connPool) minIdleTimeOf(conn *upstreamConn) time.Duration {
-	if conn.lastOutcome != balance.OK {
-		return max(p.reuseDelay, reuseDelayAfterError)
-	}
-	return p.reuseDelay
-}
-
 // popIdle removes and returns the most recently used connection that has been idle for long enough, or nil.
 func (p *connPool) popIdle(upstream *upstreamHost) *upstreamConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
 	for i, conn := range slices.Backward(upstream.idleConns) {
-		if now.Sub(conn.idleSince) < p.minIdleTimeOf(conn) {
+		if now.Sub(conn.idleSince) < p.reuseDelay {
 			continue
 		}
 		upstream.idleConns = slices.Delete(upstream.idleConns, i, i+1)
--- a/internal/sidecar/fixtures_test.go
+++ b/internal/sidecar/fixtures_test.go
@@ -356,3 +356,6 @@
 	}
 	goldentest.Compare(t, "upstream.golden.txt", got.Bytes())
 }
+
+// reuseDelayAfterError is the reuse delay after an error: the same as after a success.
+const reuseDelayAfterError = reuseDelay
--- a/internal/sidecar/idle_limit.go
+++ b/internal/sidecar/idle_limit.go
@@ -11,8 +11,8 @@
 // server may be closing: a reset soon after the write lowers the limit on the idle time of the server's connections.
 const (
 	staleResetWindow = 10 * time.Millisecond // from the last byte written to the reset; a later reset has other causes
-	// minIdleTimeLimit is the lower bound of the limit. A limit below the reuse delay would rule out every reuse.
-	minIdleTimeLimit = 3 * reuseDelayAfterError
+	// minIdleTimeLimit is the lower bound of the limit. A limit below reuseDelay would rule out every reuse.
+	minIdleTimeLimit = 3 * reuseDelay
 	idleTimeDecrease = 0.7              // after a reset: the limit as a fraction of the connection's idle time
 	idleTimeIncrease = 1.02             // after a successful reuse near the limit: factor by which the limit grows
 	idleTimeDoubling = 30 * time.Second // time in which the limit doubles by itself, as the reset may have had another cause
--- a/internal/sidecar/idle_limit_test.go
+++ b/internal/sidecar/idle_limit_test.go
@@ -77,9 +77,9 @@
 	pool := newConnPool(&Config{connIdleTimeout: 10 * time.Second}, 8, &byteBudget{})
 	upstream := &upstreamHost{}
 	for _, delays := range []int{1, 2, 4, 4, 3, 1} {
-		pool.learnIdleTimeLimit(upstream, time.Duration(delays)*reuseDelayAfterError, balance.Reset, 0)
+		pool.learnIdleTimeLimit(upstream, time.Duration(delays)*reuseDelay, balance.Reset, 0)
 	}
-	if limit := pool.idleTimeLimit(upstream); limit < 2*reuseDelayAfterError {
-		t.Errorf("connections are reused after %v to %v idle", reuseDelayAfterError, limit)
+	if limit := pool.idleTimeLimit(upstream); limit < 2*pool.reuseDelay {
+		t.Errorf("connections are reused after %v to %v idle", pool.reuseDelay, limit)
 	}
 }
--- a/internal/sidecar/upstream_exchange.go
+++ b/internal/sidecar/upstream_exchange.go
@@ -110,7 +110,6 @@
 		if reused {
 			p.learnIdleTimeLimit(upstream, idleTime, result.outcome, elapsed)
 		}
-		conn.lastOutcome = result.outcome
 		kept := stopCancel() && reusable
 		if kept {
 			p.returnIdle(conn)
