sidecar: a connection with an unanswered request is closed by nothing but its response

Cause: at the drain deadline, 0.2 s before SIGKILL, each call answers itself; at 0.1 s before SIGKILL http.Server.Close closed all connections, also those with an unanswered request. After a suspension over both, the two are due in the same moment, and the close wins.

Why it works: after the close deadline the drain waits for connections that owe their client a response (clientConn.owesResponse). For a request that was read there is no other limit, as it is answered at the drain deadline; what depends on the client has one of its own, 20 ms before SIGKILL. Then reading ends on all connections under the listener's lock, so that no request is taken between the last look and the close.

--- a/internal/sidecar/client_conn.go
+++ b/internal/sidecar/client_conn.go
@@ -211,6 +211,29 @@
 	c.bodyRemaining = size
 }
 
+// owesResponse reports whether closing the connection now could lose a request or its response. A complete request is always
+// waited for, as it is answered at the drain deadline at the latest. What depends on the client is waited for until limit: that
+// the rest of a request that has just begun arrives, and that a response is written and delivered. The caller holds the lock of
+// the listener.
+func (c *clientConn) owesResponse(now, limit time.Time) bool {
+	if c.unanswered {
+		return true
+	}
+	if !now.Before(limit) {
+		return false
+	}
+	switch {
+	case c.writing:
+		return true
+	case c.phase == phaseClosing:
+		return unacknowledgedBytes(c.rawConn) > 0
+	case c.phase == phaseActive:
+		return !c.readerWaiting // it waits only for a body that the client has not sent completely
+	default:
+		return !c.evictable(now) || !openAndEmpty(c.TCPConn)
+	}
+}
+
 // lastArrival returns the arrival time of the last byte that was read. After a request is read completely, this byte is the
 // last byte of the request.
 func (c *clientConn) lastArrival() time.Time {
--- a/internal/sidecar/client_listener.go
+++ b/internal/sidecar/client_listener.go
@@ -40,6 +40,7 @@
 	mu sync.Mutex
 	// readAheadEnded: no more bytes are read behind active requests; see clientConn.fillReadAhead.
 	readAheadEnded bool
+	readingEnded   bool      // nothing more is read from any connection; see endReading
 	drainDeadline  time.Time // no connection lingers beyond it; zero: no drain has begun
 	conns          map[*clientConn]struct{}
 	readBuffer     [readBufferBytes]byte // for one read while the lock is held
@@ -169,6 +170,7 @@
 	}
 	if admitted {
 		conn.phaseSince = time.Now()
+		conn.readClosed = l.readingEnded
 		l.conns[conn] = struct{}{}
 		l.monitor.count(clientConnAccepted)
 	}
@@ -297,13 +299,14 @@
 	}
 }
 
-// drain closes each connection as soon as it has no request. It reports whether all were closed by the deadline.
+// drain closes each connection as soon as it has no request. After the deadline it waits only for connections whose clients are
+// still owed a response, and then ends reading. It reports whether all connections were closed.
 func (l *clientListener) drain(deadline time.Time) bool {
 	l.mu.Lock()
-	l.drainDeadline = deadline
+	l.drainDeadline = deadline.Add(lateResponseWindow)
 	l.mu.Unlock()
 	for ; l.openCount() > 0; time.Sleep(capacityPollInterval) {
-		if time.Now().After(deadline) {
+		if time.Now().After(deadline) && l.endReading() {
 			return false
 		}
 		l.shutdownIdle()
@@ -311,6 +314,25 @@
 	return true
 }
 
+// endReading ends reading on all connections, so that they can be closed without losing a request. It does nothing and reports
+// false while a client is still owed a response.
+func (l *clientListener) endReading() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	for conn := range l.conns {
+		if conn.owesResponse(now, l.drainDeadline) {
+			return false
+		}
+	}
+	l.readingEnded = true
+	l.drainDeadline = now
+	for conn := range l.conns {
+		conn.readClosed = true
+	}
+	return true
+}
+
 // stopAccepting makes Accept return net.ErrClosed after it has accepted all queued connections.
 func (l *clientListener) stopAccepting() error {
 	return l.SetDeadline(time.Now().Add(capacityPollInterval))
--- a/internal/sidecar/frontend.go
+++ b/internal/sidecar/frontend.go
@@ -68,7 +68,8 @@
 // closeConnections closes all connections after their responses. It stops accepting only when no connection is left: a client
 // that sends a request while its connection is being closed sends the request again on a new connection. serveErr signals
 // that the server has stopped accepting. http.Server.Shutdown is not used, because it also closes connections on which a
-// request is being read.
+// request is being read. After the deadline, connections are closed that owe their client no response; a connection with an
+// unanswered request is closed by nothing but its response, however late the process is.
 func (f *frontend) closeConnections(server *http.Server, serveErr <-chan error, deadline time.Time) error {
 	f.listener.endReadAhead() // before closeAfterResponse is set: announceClose depends on it
 	f.closeAfterResponse.Store(true)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -37,8 +37,13 @@
 	drainAcceptWindow   = 500 * time.Millisecond
 	maxDrainDeadline    = 3 * time.Second
 	killGracePeriod     = 700 * time.Millisecond
-	shutdownMargin      = 200 * time.Millisecond // between the last response and SIGKILL
+	shutdownMargin      = 200 * time.Millisecond // between the drain deadline, at which all requests are answered, and SIGKILL
 	finalResponseWindow = 150 * time.Millisecond // the end of a drain, in which each response closes its connection
+	closeMargin         = shutdownMargin / 2     // between the end of clients that do not read or send nothing, and SIGKILL
+	exitMargin          = 20 * time.Millisecond  // between the end of the last connection and SIGKILL
+	// lateResponseWindow is how long after the end of other clients a response may still be written and delivered, if the
+	// process was suspended at the drain deadline.
+	lateResponseWindow = closeMargin - exitMargin
 
 	drainPollInterval = 20 * time.Millisecond
 	reapInterval      = time.Second
@@ -213,7 +218,7 @@
 	for s.frontend.listener.anyPersistent() && time.Until(deadline) > finalResponseWindow {
 		<-ticker.C
 	}
-	if err := s.frontend.closeConnections(server, serveErr, deadline.Add(shutdownMargin/2)); err != nil {
+	if err := s.frontend.closeConnections(server, serveErr, deadline.Add(shutdownMargin-closeMargin)); err != nil {
 		return fmt.Errorf("drain: %w", err)
 	}
 	s.frontend.monitor.logCounters()
