sidecar: the drain deadline allows for a SIGTERM that is noticed late

What callers saw: a sidecar that stood still for 0.15 s when SIGTERM came, and again just before SIGKILL, was killed over open requests.

Cause: the drain deadline was 0.2 s before SIGKILL, counted from the notice of SIGTERM. Noticed 0.15 s late, it is 0.05 s before SIGKILL, and a second suspension covers it.

TestDrainDeadlineAllowsForLateNotice failed in both of its cases.

Why it works: 0.15 s for the notice, 0.15 s for the second suspension, 0.05 s to write what is open.

Cost: the process ends 0.15 s earlier, so its successor starts earlier.

--- a/internal/sidecar/late_drain_test.go
+++ b/internal/sidecar/late_drain_test.go
@@ -56,6 +56,21 @@
 	}
 }
 
+// A process that is suspended when SIGTERM arrives notices it late, and may be suspended again just before SIGKILL. Its drain
+// deadline still comes early enough for the responses to be written before the second suspension.
+func TestDrainDeadlineAllowsForLateNotice(t *testing.T) {
+	const timeToRespond = 50 * time.Millisecond
+	for deadlineMS, kill := range map[string]time.Duration{"2000": 2700 * time.Millisecond, "5000": 3700 * time.Millisecond} {
+		config, err := newConfigDocument("127.0.0.1:1").replaceSetting(`"hard_limit_ms": 2500`, `"hard_limit_ms": `+deadlineMS).load(t)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if end := schedulingAllowance + drainPeriod(config) + timeToRespond + schedulingAllowance; end > kill {
+			t.Errorf("deadline of %s ms: the last response may be written %v after SIGTERM, SIGKILL follows after %v", deadlineMS, end, kill)
+		}
+	}
+}
+
 // What a connection owes its client decides whether it may be closed after the time for closing connections, and what it owes
 // depends on time only where the client may keep it open.
 func TestOwedResponses(t *testing.T) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -110,13 +110,14 @@
 	}, nil
 }
 
-// drainPeriod returns the time between SIGTERM and the latest time of the last response.
+// drainPeriod returns the time between the notice of SIGTERM and the drain deadline. The notice may be late by
+// schedulingAllowance, and the process may be suspended once more just before SIGKILL, which shutdownMargin allows for.
 func drainPeriod(config *Config) time.Duration {
 	longestDeadline := time.Duration(0)
 	for i := range config.settings.Classes {
 		longestDeadline = max(longestDeadline, durationFromMS(config.settings.Classes[i].Deadline))
 	}
-	return min(longestDeadline, maxDrainDeadline) + killGracePeriod - shutdownMargin
+	return min(longestDeadline, maxDrainDeadline) + killGracePeriod - schedulingAllowance - shutdownMargin
 }
 
 // ApplyRuntimeLimits sets the Go runtime's limits on memory and running threads for the whole process.
