Review case 3: a drain stops a server that a sidecar still uses

The agent of one of two sidecars is killed. Once the sidecar's registration is over, the proof of a drain no longer counts it, and the platform stops a server while requests of that sidecar are open on it.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,6 +21,7 @@
 // cases are the cases by the name that their scripts pass.
 var cases = map[string]func(*run) error{
 	"lease":   leaseCase,
+	"drain":   drainCase,
 	"removed": removedCase,
 }
 
