--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,6 +23,7 @@
 	"lease":   leaseCase,
 	"drain":   drainCase,
 	"removed": removedCase,
+	"restore": restoreCase,
 }
 
 func main() {
