Review: the records hold every request, answer and event

What each client sent and got, what the servers saw and every event of the lease holders goes into record.txt.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -36,10 +36,10 @@
 
 // answer is what a client got for one request.
 type answer struct {
-	id     string
-	status int // 0: no answer
-	text   string
-	at     time.Time
+	id         string
+	status     int // 0: no answer
+	text       string
+	sentAt, at time.Time
 }
 
 // clients are the application's clients at one sidecar: each sends one request after the other on its own connection.
@@ -81,7 +81,7 @@
 	request.Header.Set("X-Request-ID", id)
 	request.Header.Set("X-Priority-Class", c.class)
 	request.Header.Set("X-Timeout-Ms", fmt.Sprint(clientTimeoutMS))
-	got := answer{id: id}
+	got := answer{id: id, sentAt: time.Now()}
 	response, err := client.Do(request)
 	if err == nil {
 		body, readErr := io.ReadAll(response.Body)
@@ -104,6 +104,20 @@
 	return c.answers
 }
 
+// recordTraffic writes to the record what clients sent and got, and what the given servers saw.
+func (r *run) recordTraffic(answers []answer, servers ...string) {
+	for _, a := range answers {
+		r.write("request %s sent at %.3f s, answered %d at %.3f s: %s", a.id, a.sentAt.Sub(r.started).Seconds(), a.status,
+			a.at.Sub(r.started).Seconds(), strings.TrimSpace(a.text))
+	}
+	for _, server := range servers {
+		for _, event := range serverEvents(r.serverRecord(server)) {
+			r.write("server %s at %.3f s: %s %s, %d open", server, time.UnixMilli(event.AtMS).Sub(r.started).Seconds(), event.What,
+				event.ID, event.Open)
+		}
+	}
+}
+
 // answersByID returns the answers by the ID of their request.
 func answersByID(answers []answer) map[string]answer {
 	byID := map[string]answer{}
--- a/review/standin/drain.go
+++ b/review/standin/drain.go
@@ -152,6 +152,7 @@
 
 // judgeDrain checks that the drained server had no open request when it was stopped, and got none after that.
 func (r *run) judgeDrain(answers []answer) error {
+	r.recordTraffic(answers, drainedServer)
 	byID := answersByID(answers)
 	open := map[string]bool{}
 	openAtStop, stopped := 0, false
--- a/review/standin/lease.go
+++ b/review/standin/lease.go
@@ -142,9 +142,7 @@
 		}
 	}
 	for _, event := range events {
-		if event.What != "renewed" {
-			r.note("event %+v", event)
-		}
+		r.write("event %+v", event)
 	}
 	r.note("leases with two holders at a time: %d of %d; tenures under a token that is not higher than an earlier one: %d",
 		overlaps, leaseCount, lowTokens)
--- a/review/standin/removed.go
+++ b/review/standin/removed.go
@@ -125,6 +125,7 @@
 // counts as told.
 func (r *run) judgeRemoved(answers []answer, agentHadIt, stoppedAt time.Time) error {
 	bound := agentHadIt.Add(toldLimit + drainGrace + socketSlack)
+	r.recordTraffic(answers, "s1", "s2", "s3", removedServer)
 	byID := answersByID(answers)
 	late, lost := 0, 0
 	open := map[string]bool{}
--- a/review/standin/restore.go
+++ b/review/standin/restore.go
@@ -193,6 +193,7 @@
 	}
 	after, lost := 0, 0
 	for uid, sentAt := range written.acknowledged {
+		r.write("registration %s sent at %.3f s and acknowledged; in the list at the end: %v", uid, sentAt.Sub(r.started).Seconds(), uids[uid] != "")
 		if sentAt.Before(restoredAt) {
 			continue
 		}
--- a/review/standin/run.go
+++ b/review/standin/run.go
@@ -76,12 +76,15 @@
 }
 
 // note writes a line to the record and to standard output.
-func (r *run) note(format string, args ...any) {
+func (r *run) note(format string, args ...any) { fmt.Print(r.write(format, args...)) }
+
+// write writes a line to the record and returns it.
+func (r *run) write(format string, args ...any) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	line := fmt.Sprintf("%8.3f  %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
 	_, _ = r.record.WriteString(line) // the result is in the exit status as well
-	fmt.Print(line)
+	return line
 }
 
 // close ends all processes and removes the temporary folder.
