--- a/review/standin/drain.go
+++ b/review/standin/drain.go
@@ -11,7 +11,7 @@
 // an operator drains a server.
 
 const (
-	drainWork      = 1500 * time.Millisecond
+	drainWork      = 1200 * time.Millisecond
 	drainClients   = 16
 	drainGraceMS   = 500 // from SIGTERM to SIGKILL, of the platform's version
 	drainAimMS     = 2500
