--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -29,7 +29,7 @@
 	defaultAimMS    = 800
 	startSpread     = time.Second
 	drainGrace      = 600 * time.Millisecond
-	socketSlack     = 50 * time.Millisecond // docs/PROTOCOL: each time limit grows by 50 ms
+	socketSlack     = 50 * time.Millisecond // each time limit grows by 50 ms on sockets
 	// toldLimit is the time by which a change of the list counts as told, whether it arrived or not.
 	toldLimit = 6 * time.Second
 )
