sidecar: one memory plan for all that connections and requests cost

What callers saw: killed for memory at 32 MB beside 300 and 600 clients with heads of 1,500 short fields (50 and 73 MB), requests rejected while a crowd held the memory for bodies.

Cause: the only accounts were of bodies, by announced length and before a byte had come, and of read-ahead. Parsed heads (a map entry, a slice and a string for each field, cloned for each attempt), buffers and stacks of connections, and the number of connections depended on nothing but descriptors. A stalled body could not be evicted and held its place for 1.2 s.

Change: newMemoryPlan divides memory_mb: the runtime's limit, and shares for client connections, upstream connections, requests in flight, partial requests, responses and read-ahead, none of which can use up another's. A partial request is charged for the bytes and fields that have come; while that memory is short the ones that have waited longest for their client are shed, with 503 where the body has begun. A head of over 100 lines is answered 431 before it is parsed. A call holds its memory until its last attempt has ended, not until its client has left. A stalled body gives up its place like a silent connection.

Why it works: what a connection may hold is bounded by what it was charged, so no shape of request matters.

The fixture of local responses gives the memory back after the case of exhausted memory, as every request needs some now; its golden file is unchanged.

--- a/internal/sidecar/attempt_outcome_test.go
+++ b/internal/sidecar/attempt_outcome_test.go
@@ -141,7 +141,7 @@
 	}
 	serverA, serverB := newBackend(t, "a", serve), newBackend(t, "b", serve)
 	sidecar := startSidecar(t, newConfigDocument(newFakeRegistry(t).address(), serverA.endpoint, serverB.endpoint))
-	memory := sidecar.loop.pool.bodyMemory.remaining.Load()
+	memory := sidecar.loop.pool.responseMemory.remaining.Load()
 	got := sidecar.do(sidecar.newRequest(class, test.timeout))
 	if got.status != wantStatus || got.status == 200 && got.body != "done" {
 		t.Errorf("answer %d %q, want %d", got.status, got.body, wantStatus)
@@ -149,7 +149,7 @@
 	if attempted := attempts.Load(); attempted != wantAttempts {
 		t.Errorf("%d attempts, want %d", attempted, wantAttempts)
 	}
-	waitUntil(t, "all body memory to be released", func() bool { return sidecar.loop.pool.bodyMemory.remaining.Load() == memory })
+	waitUntil(t, "all body memory to be released", func() bool { return sidecar.loop.pool.responseMemory.remaining.Load() == memory })
 }
 
 // A server's response completes at the same moment as its call ends for another reason, such as a timeout. Whichever event
@@ -192,7 +192,7 @@
 			if claimed || resp.status != 200 {
 				loop.t.Errorf("%+v, claimed %v", resp, claimed)
 			}
-			loop.pool.bodyMemory.release(resp.reservedBytes)
+			loop.pool.responseMemory.release(resp.reservedBytes)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -241,14 +241,14 @@
 			server := newBackend(t, "a", respondAndStall(test.text))
 			pool, attempt, conn, _ := newExchange(t, server)
 			attempt.call.outbound = &outboundRequest{method: "GET", url: &url.URL{Path: "/api"}, host: "b", header: http.Header{}}
-			memory := pool.bodyMemory.remaining.Load()
+			memory := pool.responseMemory.remaining.Load()
 			conn.responseLimit.R = hookedConn{conn.Conn, func() { test.interrupt(attempt, conn) }}
 			pool.returnIdle(conn)
 			result := pool.sendAttempt(attempt)
 			if result.outcome != test.want || result.outcome == balance.OK && string(result.response.body) != "done" {
 				t.Errorf("%+v, want %v", result, test.want)
 			}
-			if remaining := pool.bodyMemory.remaining.Load(); remaining != memory-int64(result.response.reservedBytes) {
+			if remaining := pool.responseMemory.remaining.Load(); remaining != memory-int64(result.response.reservedBytes) {
 				t.Errorf("%d bytes of body memory are reserved, want %d", memory-remaining, result.response.reservedBytes)
 			}
 			if pool.openConns != 0 {
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -19,6 +19,8 @@
 	outbound *outboundRequest
 	deadline time.Time     // when the client stops waiting
 	response chan response // buffered, so that the event loop sends its response without blocking
+	// reservedBytes of the request memory are released when the call leaves the table of the event loop.
+	reservedBytes int
 
 	answered  atomic.Bool // set by the goroutine that provides the response; see markAnswered
 	responded atomic.Bool // the frontend starts to write a response, the event loop's or its own
@@ -52,7 +54,7 @@
 	retryAfterMS  float64 // 0: no Retry-After
 	contentType   string
 	body          []byte
-	reservedBytes int // reserved from the body memory until the response is written or dropped
+	reservedBytes int // reserved from the response memory until the response is written or dropped
 	reason        countedEvent
 }
 
@@ -93,8 +95,9 @@
 
 // callTable holds the calls that are unanswered or have attempts in flight.
 type callTable struct {
-	byID   map[balance.RequestID]*call
-	lastID balance.RequestID
+	byID          map[balance.RequestID]*call
+	lastID        balance.RequestID
+	requestMemory *byteBudget // of which each call has reserved its part; nil: no limit
 }
 
 // add assigns the next request ID to a call and adds the call to the table.
@@ -104,9 +107,11 @@
 	t.byID[t.lastID] = added
 }
 
-// releaseIfDone removes a call that is answered and has no attempt in flight.
-func (t *callTable) releaseIfDone(call *call) {
-	if call.inFlight == 0 && call.answered.Load() {
-		delete(t.byID, call.request.ID)
+// releaseIfDone removes a call that is answered and has no attempt in flight, and releases its memory.
+func (t *callTable) releaseIfDone(done *call) {
+	if done.inFlight > 0 || !done.answered.Load() || t.byID[done.request.ID] == nil {
+		return
 	}
+	delete(t.byID, done.request.ID)
+	t.requestMemory.release(done.reservedBytes)
 }
--- a/internal/sidecar/client_conn.go
+++ b/internal/sidecar/client_conn.go
@@ -46,6 +46,8 @@
 	readAhead      readAheadBuffer
 	head           headScanner
 	bodyRemaining  int       // unread bytes of the active request's body
+	partialBytes   int       // memory that is reserved for the request that is being read
+	shed           bool      // the partial request is ended, as its memory or place is needed
 	arrivedAt      time.Time // when the bytes that were read last arrived
 	readErr        error     // set when reading has failed, such as when the client has closed its side: nothing more is read
 	disconnectedAt time.Time // when readErr was set
--- a/internal/sidecar/client_listener.go
+++ b/internal/sidecar/client_listener.go
@@ -45,6 +45,9 @@
 	conns          map[*clientConn]struct{}
 	readBuffer     [readBufferBytes]byte // for one read while the lock is held
 	memory         *byteBudget           // for bytes that are read ahead; nil: no limit
+	partialMemory  *byteBudget           // for requests that are not completely read; nil: no limit
+
+	shortageLoggedAt time.Time
 }
 
 func newClientListener(listener net.Listener, maxConns, maxPersistent int) *clientListener {
@@ -181,7 +184,8 @@
 	return admitted
 }
 
-// evictOne removes a connection without a request from the table and returns it, or nil if no connection can be evicted.
+// evictOne removes a connection without a request from the table and returns it, or nil if no connection can be evicted at
+// once. A connection whose body has stalled is shed instead, and leaves the table when its client is answered.
 // The caller holds the lock, and closes the connection only after releasing the lock: closing waits for a reader, which may
 // wait for the lock.
 func (l *clientListener) evictOne() *clientConn {
@@ -191,7 +195,13 @@
 		if candidate == nil || firstRequestExpected && candidate.phase == phaseIdle {
 			return nil
 		}
-		if candidate.phase == phaseClosing || openAndEmpty(candidate.TCPConn) {
+		switch {
+		case candidate.phase == phaseActive && l.pendingSheds() >= maxPendingSheds:
+			return nil
+		case candidate.phase == phaseActive && openAndEmpty(candidate.TCPConn):
+			candidate.shedPartial() // its place is free once its client is answered
+			return nil
+		case candidate.phase == phaseClosing || candidate.phase != phaseActive && openAndEmpty(candidate.TCPConn):
 			l.remove(candidate, clientConnEvictedForNew)
 			return candidate
 		}
@@ -205,20 +215,35 @@
 // connection and the client loses the rest of the response. The caller holds the lock.
 func (l *clientListener) evictionCandidate(now time.Time) (candidate *clientConn, firstRequestExpected bool) {
 	for conn := range l.conns {
-		if conn.phase != phaseClosing && !conn.evictable(now) {
+		if conn.phase != phaseClosing && !conn.evictable(now) && !conn.bodyStalled(now) {
 			firstRequestExpected = firstRequestExpected || conn.phase == phaseNew
 			continue
 		}
 		if l.awaitsDelivery(conn, now) {
 			continue
 		}
-		if candidate == nil || conn.phase < candidate.phase || conn.phase == candidate.phase && conn.phaseSince.Before(candidate.phaseSince) {
+		if candidate == nil || conn.evictedBefore(candidate) {
 			candidate = conn
 		}
 	}
 	return candidate, firstRequestExpected
 }
 
+// evictedBefore reports whether this evictable connection is evicted before another one.
+func (c *clientConn) evictedBefore(other *clientConn) bool {
+	phase, otherPhase := c.evictionPhase(), other.evictionPhase()
+	return phase < otherPhase || phase == otherPhase && c.phaseSince.Before(other.phaseSince)
+}
+
+// evictionPhase is the phase of an evictable connection. One whose body has stalled counts as a new one: its request is not
+// complete.
+func (c *clientConn) evictionPhase() connPhase {
+	if c.phase == phaseActive {
+		return phaseNew
+	}
+	return c.phase
+}
+
 // awaitsDelivery reports whether the client's machine has not acknowledged all of the last response, and the client has had
 // less than the linger timeout to read it. For a closing connection the deadline in Close replaces the linger timeout.
 func (l *clientListener) awaitsDelivery(conn *clientConn, now time.Time) bool {
@@ -261,6 +286,7 @@
 func (l *clientListener) remove(conn *clientConn, reason countedEvent) {
 	conn.recordClose(reason)
 	delete(l.conns, conn)
+	conn.releasePartialLocked()
 	conn.readClosed = true
 }
 
@@ -319,6 +345,7 @@
 		l.mu.Lock()
 		delete(l.conns, conn)
 		conn.readAhead.clear()
+		conn.releasePartialLocked()
 		l.signalCapacity()
 		l.mu.Unlock()
 	case http.StateNew: // Accept has added it to the table
--- a/internal/sidecar/client_read.go
+++ b/internal/sidecar/client_read.go
@@ -24,7 +24,7 @@
 		return !wouldBlock
 	}
 	waitErr := c.rawConn.Read(readReady)
-	if errors.Is(waitErr, os.ErrDeadlineExceeded) && c.betweenRequests() {
+	if errors.Is(waitErr, os.ErrDeadlineExceeded) && c.betweenRequests() && !c.wasShed() {
 		// A request may have arrived just before the deadline, while this goroutine was not scheduled. If Control fails,
 		// Read returns the deadline error.
 		_ = c.rawConn.Control(func(fd uintptr) {
@@ -36,6 +36,9 @@
 	if waitErr != nil {
 		err = waitErr
 	}
+	if errors.Is(err, errTooManyFields) {
+		c.rejectHeaderFields()
+	}
 	if err != nil && err != io.EOF { //nolint:errorlint // io.Reader requires an unwrapped io.EOF
 		err = &net.OpError{Op: "read", Net: "tcp", Err: err} // the type that net/http expects
 	}
@@ -51,6 +54,9 @@
 	if c.readClosed {
 		return 0, false, net.ErrClosed
 	}
+	if c.shed {
+		return 0, false, errRequestShed
+	}
 	// While a request is active, net/http reads a single byte to detect that the client disconnects. It stops reading when
 	// it gets that byte.
 	if c.phase == phaseActive && len(p) == 1 && c.bodyRemaining == 0 {
@@ -61,9 +67,9 @@
 	}
 	if c.readAhead.size > 0 {
 		data, arrivedAt := c.readAhead.first(len(p))
-		n = c.deliver(p, data, arrivedAt)
+		n, err = c.deliver(p, data, arrivedAt)
 		c.readAhead.discard(n)
-		return n, false, nil
+		return n, false, err
 	}
 	return c.readSocket(fd, p)
 }
@@ -84,21 +90,32 @@
 	}
 	data := c.listener.readBuffer[:size]
 	arrivedAt := arrival.Time(fd)
-	n = c.deliver(p, data, arrivedAt)
+	n, err = c.deliver(p, data, arrivedAt)
+	if err != nil {
+		return 0, false, err
+	}
 	if !c.readAhead.append(data[n:], arrivedAt) {
 		c.setReadErr(errPipelineTooLong) // the read-ahead memory is exhausted
 	}
 	return n, false, nil
 }
 
-// deliver copies bytes to net/http, up to the end of the request's head or body, and returns their number. The caller holds
-// the lock of the listener.
-func (c *clientConn) deliver(p, data []byte, arrivedAt time.Time) int {
+// deliver copies bytes to net/http, up to the end of the request's head or body, and returns their number. It reserves the
+// memory that net/http needs for a head; the frontend does so for a body. The caller holds the lock of the listener.
+func (c *clientConn) deliver(p, data []byte, arrivedAt time.Time) (int, error) {
 	data = data[:min(len(data), len(p))]
 	switch {
 	case c.phase != phaseActive:
+		linesBefore := c.head.lines
 		length, ended := c.head.scan(data)
 		data = data[:length]
+		if c.head.lines > maxHeaderFields {
+			return 0, errTooManyFields
+		}
+		if !c.listener.reservePartial(c, length+headerFieldMemory*(c.head.lines-linesBefore)) {
+			c.shedPartial()
+			return 0, errRequestShed
+		}
 		if ended {
 			c.head = headScanner{}
 		}
@@ -112,7 +129,7 @@
 	}
 	c.readerWaiting = false
 	c.arrivedAt = arrivedAt
-	return copy(p, data)
+	return copy(p, data), nil
 }
 
 // fillReadAhead reads the bytes behind the active request into the read-ahead buffer, until no more are available or the
--- a/internal/sidecar/conn_pool.go
+++ b/internal/sidecar/conn_pool.go
@@ -56,21 +56,6 @@
 	idleTime  time.Duration // time without a request before the current exchange
 }
 
-// byteBudget limits how many bytes are reserved at a time, for example for all bodies in memory.
-type byteBudget struct{ remaining atomic.Int64 }
-
-// reserve takes bytes from the budget. It takes none and returns false if too few remain.
-func (b *byteBudget) reserve(size int) bool {
-	if b.remaining.Add(-int64(size)) >= 0 {
-		return true
-	}
-	b.release(size)
-	return false
-}
-
-// release returns bytes to the budget.
-func (b *byteBudget) release(size int) { b.remaining.Add(int64(size)) }
-
 // connPool holds the idle connections to all servers and limits the number of open connections.
 type connPool struct {
 	dialer           net.Dialer
@@ -78,7 +63,7 @@
 	reuseDelay       time.Duration
 	loadReportFields []string
 	healthCheckPath  string
-	bodyMemory       *byteBudget
+	responseMemory   *byteBudget
 	guard            sendGuard
 
 	mu                 sync.Mutex
@@ -87,14 +72,14 @@
 	maxConns           int
 }
 
-func newConnPool(config *Config, maxConns int, bodyMemory *byteBudget) *connPool {
+func newConnPool(config *Config, maxConns int, responseMemory *byteBudget) *connPool {
 	pool := &connPool{
 		dialer:             net.Dialer{Timeout: durationFromMS(config.settings.ConnectTimeout), KeepAlive: -1},
 		maxIdleTime:        time.Duration(float64(config.connIdleTimeout) * idleTimeoutFraction),
 		reuseDelay:         reuseDelay,
 		loadReportFields:   config.loadReportFields,
 		healthCheckPath:    healthCheckPath,
-		bodyMemory:         bodyMemory,
+		responseMemory:     responseMemory,
 		guard:              sendGuard{&monitor{}},
 		hostsWithIdleConns: map[*upstreamHost]struct{}{},
 		maxConns:           maxConns,
--- a/internal/sidecar/conn_pool_test.go
+++ b/internal/sidecar/conn_pool_test.go
@@ -110,8 +110,9 @@
 	}
 }
 
-// The memory for the bodies of all requests is bounded. Completed requests release the memory of their bodies.
-func TestBodyMemoryIsBounded(t *testing.T) {
+// The memory for all requests is bounded, and for all responses: a response waits for memory, as its server has executed the
+// request. Completed requests release their memory.
+func TestRequestAndResponseMemoryAreBounded(t *testing.T) {
 	release := make(chan struct{})
 	large, half := strings.Repeat("x", 40<<10), strings.Repeat("y", 20<<10)
 	server := newBackend(t, "a", func(conn net.Conn, r *http.Request, body string) bool {
@@ -119,8 +120,11 @@
 		_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(half), half)
 		return err == nil
 	})
-	const limit = 100 << 10
-	sidecar := startSidecar(t, newConfigDocument(newFakeRegistry(t).address(), server.endpoint), func(sidecar *Sidecar) { sidecar.loop.pool.bodyMemory.remaining.Store(limit) })
+	const requestLimit, responseLimit = 2*(requestMemory+requestCopies*41<<10) + requestMemory, 20 << 10 // two requests, one response
+	sidecar := startSidecar(t, newConfigDocument(newFakeRegistry(t).address(), server.endpoint), func(sidecar *Sidecar) {
+		sidecar.frontend.requestMemory.remaining.Store(requestLimit)
+		sidecar.loop.pool.responseMemory.remaining.Store(responseLimit)
+	})
 	newLargeRequest := func() *http.Request {
 		req := sidecar.newRequest("charge", time.Second)
 		req.Body, req.ContentLength = io.NopCloser(strings.NewReader(large)), int64(len(large))
@@ -132,17 +136,16 @@
 		t.Errorf("third request: %+v, want a rejection", got)
 	}
 	close(release)
-	served := 0 // at least 1, as the remaining memory is enough for one response
 	for _, r := range []<-chan clientResult{first, second} {
-		if got := receiveWithin(t, "a response", r); got.status == 200 && got.body == half {
-			served++
-		} else if got.status != statusFailed {
-			t.Errorf("%d", got.status)
+		if got := receiveWithin(t, "a response", r); got.status != 200 || got.body != half {
+			t.Errorf("%d, and the response has %d bytes", got.status, len(got.body))
 		}
 	}
-	waitUntil(t, "all body memory to be released", func() bool { return sidecar.loop.pool.bodyMemory.remaining.Load() == limit })
-	if got := sidecar.do(newLargeRequest()); got.status != 200 || served == 0 {
-		t.Errorf("%d served, afterwards %d", served, got.status)
+	waitUntil(t, "all memory to be released", func() bool {
+		return sidecar.loop.pool.responseMemory.remaining.Load() == responseLimit && sidecar.frontend.requestMemory.remaining.Load() == requestLimit
+	})
+	if got := sidecar.do(newLargeRequest()); got.status != 200 {
+		t.Errorf("afterwards %d", got.status)
 	}
 }
 
--- a/internal/sidecar/drain_test.go
+++ b/internal/sidecar/drain_test.go
@@ -301,7 +301,7 @@
 	document := newConfigDocument(newFakeRegistry(t).address(), server.endpoint)
 	document["limits"] = map[string]any{"sockets": minSockets, "memory_mb": 64}
 	sidecar := startSidecar(t, document)
-	memory := sidecar.frontend.bodyMemory.remaining.Load()
+	memory := sidecar.frontend.requestMemory.remaining.Load()
 	requestText := sidecar.wireText(sidecar.newRequest("lookup", time.Minute)) // all have the same ID, so all but the first are rejected
 	payloads := []string{
 		"", "GET /api HT", requestText[:len(requestText)-2], "POST /api HTTP/1.1\r\nHost: b\r\nContent-Length: 60000\r\n\r\nhalf",
@@ -334,7 +334,7 @@
 	flood.Wait()
 	sidecar.client.CloseIdleConnections()
 	waitUntil(t, "all connections, requests and memory to be released", func() bool {
-		return sidecar.frontend.listener.openCount() == 0 && sidecar.frontend.inFlight.Load() == 0 && sidecar.frontend.bodyMemory.remaining.Load() == memory
+		return sidecar.frontend.listener.openCount() == 0 && sidecar.frontend.inFlight.Load() == 0 && sidecar.frontend.requestMemory.remaining.Load() == memory
 	})
 }
 
--- a/internal/sidecar/event_loop.go
+++ b/internal/sidecar/event_loop.go
@@ -180,7 +180,7 @@
 		call.response <- exchange.response
 		l.cancelUnsentAttempts(call)
 	} else {
-		l.pool.bodyMemory.release(exchange.response.reservedBytes)
+		l.pool.responseMemory.release(exchange.response.reservedBytes)
 	}
 	l.dispatch(nowMS, balance.Outcome{
 		Request:     call.request.ID,
--- a/internal/sidecar/fixtures_test.go
+++ b/internal/sidecar/fixtures_test.go
@@ -306,8 +306,9 @@
 	responses.add("other method", "PUT /api", lookup, "")
 	front.maxInFlight = 0
 	responses.add("too many requests", "GET /api", lookup, "")
-	front.bodyMemory.remaining.Store(0)
+	front.requestMemory.remaining.Store(0)
 	responses.add("body memory exhausted", "POST /api", charge, "body")
+	front.requestMemory.remaining.Store(1 << 20)
 	front.maxInFlight = 10
 	drainEnd := time.Now().Add(testTimeout)
 	front.drainDeadline.Store(&drainEnd)
--- a/internal/sidecar/frontend.go
+++ b/internal/sidecar/frontend.go
@@ -38,8 +38,10 @@
 	post       func(loopEvent)
 	listener   *clientListener
 	requestIDs *recentRequestIDs
-	bodyMemory *byteBudget
-	monitor    *monitor
+	// requestMemory is for requests in flight. The call of a request releases its part.
+	requestMemory  *byteBudget
+	responseMemory *byteBudget
+	monitor        *monitor
 
 	inFlight     atomic.Int64
 	maxInFlight  int64
@@ -97,6 +99,7 @@
 // ServeHTTP serves the ready check and the requests of the application.
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	clientConnOf(r).setHandled()
+	defer clientConnOf(r).releasePartial()
 	f.announceClose(w, r)
 	f.extendWriteDeadline(w)
 	if r.URL.Path == readyPath && r.Method == http.MethodGet && checkFraming(r) == nil {
@@ -108,36 +111,53 @@
 		f.rejectMalformed(w, r, err)
 		return
 	}
-	// The limits on body memory and on requests in flight bound memory, goroutines and connections to servers. The request
-	// has not been sent to a server, so a rejection is safe. A request that is not read completely ends its connection.
-	size := int(r.ContentLength)
-	if !f.bodyMemory.reserve(size) {
-		f.monitor.count(rejectedBodyMemory)
-		w.Header().Set("Connection", "close")
-		writeResponse(w, r, response{status: statusRejected})
-		return
-	}
-	defer f.bodyMemory.release(size)
+	// The limits on memory and on requests in flight bound memory, goroutines and connections to servers. The request has not
+	// been sent to a server, so a rejection is safe. A request that is not read completely ends its connection.
 	if err := f.readBody(w, r, call, timeout); err != nil {
+		if errors.Is(err, errRequestShed) || clientConnOf(r).wasShed() {
+			f.rejectForMemory(w, r)
+			return
+		}
 		f.rejectMalformed(w, r, err)
 		return
 	}
 	clientConnOf(r).setUnanswered()
+	f.admit(w, r, call)
+}
+
+// admit serves a request that is read completely, if memory and the limit of requests in flight allow it.
+func (f *frontend) admit(w http.ResponseWriter, r *http.Request, call *call) {
+	size := requestMemory + requestCopies*clientConnOf(r).partialSize()
+	if !f.requestMemory.reserve(size) {
+		f.rejectForMemory(w, r)
+		return
+	}
+	clientConnOf(r).releasePartial()
 	defer f.inFlight.Add(-1)
 	if f.inFlight.Add(1) > f.maxInFlight {
+		f.requestMemory.release(size)
 		f.monitor.count(rejectedInFlight)
 		writeResponse(w, r, response{status: statusRejected})
 		return
 	}
 	idHash, ok := f.requestIDs.claim(r.Header.Get(requestIDHeader))
 	if !ok {
+		f.requestMemory.release(size)
 		f.rejectMalformed(w, r, &malformedError{http.StatusConflict, "X-Request-ID is in use"})
 		return
 	}
 	defer f.requestIDs.release(idHash)
+	call.reservedBytes = size
 	f.serveCall(w, r, call)
 }
 
+// rejectForMemory rejects a request that no server has got, and closes the connection, which frees its memory too.
+func (f *frontend) rejectForMemory(w http.ResponseWriter, r *http.Request) {
+	f.monitor.count(rejectedBodyMemory)
+	w.Header().Set("Connection", "close")
+	writeResponse(w, r, response{status: statusRejected})
+}
+
 // announceClose makes this response close the connection, in the last phase of a drain. If more requests were read from the
 // connection, it stays open until they are answered.
 func (f *frontend) announceClose(w http.ResponseWriter, r *http.Request) {
@@ -179,6 +199,7 @@
 	// The client may have disconnected while net/http had this request buffered.
 	if err := clientConnOf(r).disconnectErr(); err != nil {
 		f.monitor.count(abandonedByClient)
+		f.requestMemory.release(call.reservedBytes)
 		writeResponse(w, r, disconnectedResponse(w, err))
 		return
 	}
@@ -191,7 +212,7 @@
 	f.extendWriteDeadline(w)
 	f.announceClose(w, r)
 	writeResponse(w, r, resp)
-	f.bodyMemory.release(resp.reservedBytes)
+	f.responseMemory.release(resp.reservedBytes)
 }
 
 // awaitResponse waits for the response of the event loop. It ends the call itself if the client disconnects, the drain
--- a/internal/sidecar/frontend_helpers_test.go
+++ b/internal/sidecar/frontend_helpers_test.go
@@ -74,10 +74,9 @@
 		t.Fatal(err)
 	}
 	frontend := &frontend{
-		config: config, post: post, listener: newClientListener(listener, maxConns, maxPersistent), requestIDs: newRecentRequestIDs(), bodyMemory: &byteBudget{},
+		config: config, post: post, listener: newClientListener(listener, maxConns, maxPersistent), requestIDs: newRecentRequestIDs(), requestMemory: newByteBudget(1 << 30),
 		maxInFlight: 10, writeTimeout: testTimeout, drainExpired: make(chan struct{}),
 	}
-	frontend.bodyMemory.release(1 << 20)
 	t.Cleanup(func() { listener.Close() })
 	return frontend
 }
--- a/internal/sidecar/frontend_test.go
+++ b/internal/sidecar/frontend_test.go
@@ -133,7 +133,7 @@
 	}
 	front := &frontend{
 		config: config, post: func(event loopEvent) { posted <- event }, listener: newClientListener(listener, 10, 10), requestIDs: newRecentRequestIDs(),
-		bodyMemory: &byteBudget{}, maxInFlight: 10, writeTimeout: testTimeout,
+		requestMemory: newByteBudget(1 << 30), maxInFlight: 10, writeTimeout: testTimeout,
 	}
 	httpServer := front.httpServer()
 	serveUntilCleanup(t, httpServer, front.listener)
--- a/internal/sidecar/monitor.go
+++ b/internal/sidecar/monitor.go
@@ -19,7 +19,7 @@
 	answeredAtDrainEnd                          // by the frontend, because the process is about to end
 	abandonedByClient                           // the client disconnected before the answer
 	rejectedMalformed                           // with a 4xx status
-	rejectedBodyMemory                          // too little memory for the body
+	rejectedBodyMemory                          // too little memory for the request or its body
 	rejectedInFlight                            // too many requests in flight
 	attemptFirst                                // the balancer has decided on the first attempt of a call
 	attemptRetry                                // decided after an earlier attempt ended without answering the call
@@ -27,6 +27,7 @@
 	clientConnAccepted                          //
 	clientConnEvictedForNew                     // the table is full
 	clientConnEvictedIdle                       // too many connections have carried a request
+	clientConnShed                              // with a partial request, as memory or connections are short
 	clientConnShutByDrain                       // no request was active
 	clientConnClosed                            // by net/http: disconnect of the client, timeout, or last response
 	upstreamConnDialed                          //
@@ -49,7 +50,7 @@
 	"answered_served", "answered_rejected", "answered_failed", "answered_timed_out", "answered_overdue", "answered_at_drain_end",
 	"abandoned_by_client", "rejected_malformed", "rejected_body_memory", "rejected_in_flight",
 	"attempt_first", "attempt_retry", "attempt_not_sent",
-	"client_conn_accepted", "client_conn_evicted_for_new", "client_conn_evicted_idle", "client_conn_shut_by_drain", "client_conn_closed",
+	"client_conn_accepted", "client_conn_evicted_for_new", "client_conn_evicted_idle", "client_conn_shed", "client_conn_shut_by_drain", "client_conn_closed",
 	"upstream_conn_dialed", "upstream_conn_dial_failed",
 	"upstream_conn_reused", "upstream_conn_unusable", "upstream_conn_too_idle", "upstream_conn_surplus", "upstream_conn_expired",
 	"upstream_conn_evicted", "upstream_conn_withdrawn", "upstream_conn_ended",
--- a/internal/sidecar/read_ahead.go
+++ b/internal/sidecar/read_ahead.go
@@ -32,7 +32,7 @@
 	if len(data) == 0 {
 		return true
 	}
-	if b.size+len(data) > maxReadAheadBytes || b.memory != nil && !b.memory.reserve(len(data)) {
+	if b.size+len(data) > maxReadAheadBytes || !b.memory.reserve(len(data)) {
 		return false
 	}
 	b.size += len(data)
@@ -53,7 +53,7 @@
 // discard removes the oldest bytes, which first has returned.
 func (b *readAheadBuffer) discard(count int) {
 	b.size -= count
-	b.releaseMemory(count)
+	b.memory.release(count)
 	oldest := &b.segments[0]
 	oldest.data = oldest.data[count:]
 	if len(oldest.data) == 0 {
@@ -66,21 +66,16 @@
 
 // clear removes all bytes.
 func (b *readAheadBuffer) clear() {
-	b.releaseMemory(b.size)
+	b.memory.release(b.size)
 	b.segments = nil
 	b.size = 0
 }
 
-func (b *readAheadBuffer) releaseMemory(count int) {
-	if b.memory != nil {
-		b.memory.release(count)
-	}
-}
-
 // headScanner finds the end of a request's head: its first empty line. net/http gets no byte beyond the head, so it has read
 // one request at most, and has not read any byte that follows.
 type headScanner struct {
 	lineLength int // of the current line, without the line terminator
+	lines      int // complete lines so far, without empty ones
 }
 
 // scan returns how many of the bytes belong to the head, and whether the head ends with them.
@@ -91,6 +86,7 @@
 			return i + 1, true
 		case char == '\n':
 			s.lineLength = 0
+			s.lines++
 		case char != '\r':
 			s.lineLength++
 		}
--- a/internal/sidecar/request_parsing.go
+++ b/internal/sidecar/request_parsing.go
@@ -190,7 +190,7 @@
 		clientConnOf(r).expectBody(int(r.ContentLength))
 		err := controller.SetReadDeadline(time.Now().Add(bodyTimeout))
 		if err == nil {
-			body, err = io.ReadAll(r.Body)
+			body, err = readRequestBody(r)
 		}
 		if err == nil {
 			err = controller.SetReadDeadline(time.Time{})
@@ -207,6 +207,27 @@
 	return nil
 }
 
+// readRequestBody reads a body of a known length. Its buffer grows with the bytes that arrive, and reserves memory for them.
+func readRequestBody(r *http.Request) ([]byte, error) {
+	length := int(r.ContentLength)
+	var body []byte
+	for len(body) < length {
+		if len(body) == cap(body) {
+			capacity := min(max(2*cap(body), initialBodyBuffer), length)
+			if err := clientConnOf(r).reserveBody(capacity - cap(body)); err != nil {
+				return nil, err
+			}
+			body = append(make([]byte, 0, capacity), body...)
+		}
+		n, err := r.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err != nil && len(body) < length {
+			return nil, err
+		}
+	}
+	return body, nil
+}
+
 // hopByHopHeaders apply to a single connection and are not forwarded.
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -22,14 +21,7 @@
 	clientSocketFraction   = 0.5  // of the descriptors that are not reserved; connections to servers use the rest
 	persistentConnFraction = 0.25 // of all descriptors; keeps free a part of the third that the application may use
 
-	memoryLimitFraction = 0.7   // of the memory limit; the Go runtime does not account for all memory of the process
-	gcPercent           = 300   // the sidecar makes little garbage compared with the memory limit, and has one core
-	bodyMemoryFraction  = 0.125 // of the memory limit, for the bodies of requests and responses
-	// readAheadMemoryFraction is the share of the memory limit for the bytes that are read ahead behind active requests.
-	// It is separate from the memory for bodies, so that clients that send too much cannot use that up.
-	readAheadMemoryFraction = 0.05
-	defaultMemoryMB         = 256 // used if the configuration sets no memory limit
-	bytesPerMB              = 1 << 20
+	gcPercent = 300 // the sidecar makes little garbage compared with the memory limit, and has one core
 
 	// After SIGTERM new connections arrive for up to 0.4 s, and the application continues to use its open connections.
 	// SIGKILL follows SIGTERM after at least the longest deadline of all classes, counted up to maxDrainDeadline, plus
@@ -76,18 +68,21 @@
 	availableSockets := config.Sockets - reservedDescriptors
 	clientSockets := int(float64(availableSockets) * clientSocketFraction)
 	upstreamSockets := availableSockets - clientSockets
-	bodyMemory := &byteBudget{}
-	bodyMemory.release(int(bodyMemoryFraction * float64(cmp.Or(config.MemoryMB, defaultMemoryMB)*bytesPerMB)))
+	memory := newMemoryPlan(config.MemoryMB)
+	clientSockets = min(clientSockets, memory.maxClientConns)
+	upstreamSockets = min(upstreamSockets, memory.maxUpstreamConns)
+	requestMemory, responseMemory := newByteBudget(memory.requests), newByteBudget(memory.responses)
 	maxInFlight := upstreamSockets
 	if config.maxOpenRequests > 0 {
 		maxInFlight = min(maxInFlight, config.maxOpenRequests)
 	}
-	loop := newEventLoop(config, balancer, newConnPool(config, upstreamSockets, bodyMemory))
+	loop := newEventLoop(config, balancer, newConnPool(config, upstreamSockets, responseMemory))
+	loop.calls.requestMemory = requestMemory
 	loop.discovery = newDiscoveryClient(config.DiscoveryAddress, loop.post, func(task func()) { loop.workers.Go(task) })
 	loop.peers = listenPeers(config.peers)
 	clients := newClientListener(listener, clientSockets, int(persistentConnFraction*float64(config.Sockets)))
-	clients.memory = &byteBudget{}
-	clients.memory.release(int(readAheadMemoryFraction * float64(cmp.Or(config.MemoryMB, defaultMemoryMB)*bytesPerMB)))
+	clients.memory = newByteBudget(memory.readAheadOfClients)
+	clients.partialMemory = newByteBudget(memory.partialRequests)
 	clients.monitor = loop.pool.guard.monitor
 	return &Sidecar{
 		config:           config,
@@ -97,12 +92,12 @@
 		acceptWindow:     drainAcceptWindow,
 		serveWindow:      drainPeriod(config) - finalResponseWindow,
 		frontend: &frontend{
-			config:       config,
-			post:         loop.post,
-			listener:     clients,
-			monitor:      loop.pool.guard.monitor,
-			requestIDs:   newRecentRequestIDs(),
-			bodyMemory:   bodyMemory,
+			config:        config,
+			post:          loop.post,
+			listener:      clients,
+			monitor:       loop.pool.guard.monitor,
+			requestIDs:    newRecentRequestIDs(),
+			requestMemory: requestMemory, responseMemory: responseMemory,
 			maxInFlight:  int64(maxInFlight),
 			writeTimeout: writeTimeout, lateResponseTimeout: schedulingAllowance,
 			drainExpired: make(chan struct{}),
@@ -124,7 +119,7 @@
 func ApplyRuntimeLimits(config *Config) {
 	debug.SetGCPercent(gcPercent)
 	if config.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(config.MemoryMB) * memoryLimitFraction * bytesPerMB))
+		debug.SetMemoryLimit(newMemoryPlan(config.MemoryMB).runtimeLimit)
 	}
 	if config.Cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(config.Cores)))
--- a/internal/sidecar/stepped_loop_test.go
+++ b/internal/sidecar/stepped_loop_test.go
@@ -95,7 +95,7 @@
 	loop.t.Helper()
 	select {
 	case resp := <-call.response:
-		loop.pool.bodyMemory.release(resp.reservedBytes)
+		loop.pool.responseMemory.release(resp.reservedBytes)
 		return resp
 	default:
 		loop.t.Fatal("call is not answered")
--- a/internal/sidecar/upstream_exchange.go
+++ b/internal/sidecar/upstream_exchange.go
@@ -75,7 +75,7 @@
 	if len(result.loadReport) == 0 {
 		result.loadReport = parseLoadReport(string(result.response.body), p.loadReportFields)
 	}
-	p.bodyMemory.release(result.response.reservedBytes)
+	p.responseMemory.release(result.response.reservedBytes)
 	return result
 }
 
@@ -187,6 +187,9 @@
 // timeoutPlaceholder is the value of timeoutHeader in an encoded request until the timeout is known: room for any timeout.
 const timeoutPlaceholder = "0000000000000000000"
 
+// encodedHeadBytes is enough for the usual head of a request.
+const encodedHeadBytes = 512
+
 // encodedRequest is a request that is ready to be written, but for its timeout.
 type encodedRequest struct {
 	message       []byte
@@ -205,6 +208,9 @@
 		req.Header["User-Agent"] = nil // stops net/http from adding its own
 	}
 	buffer := &bytes.Buffer{}
+	if attempt != nil {
+		buffer.Grow(encodedHeadBytes + len(attempt.call.outbound.body))
+	}
 	if err := req.Write(buffer); err != nil {
 		return encodedRequest{}, err
 	}
--- a/internal/sidecar/upstream_response.go
+++ b/internal/sidecar/upstream_response.go
@@ -66,7 +66,7 @@
 			reservedBytes: reservedBytes,
 		}
 	} else {
-		p.bodyMemory.release(reservedBytes)
+		p.responseMemory.release(reservedBytes)
 	}
 	return result, !isCloseDelimited(header) && !closesConnection(header) && conn.reader.Buffered() == 0
 }
@@ -152,7 +152,7 @@
 	if framing.closeDelimited && status != http.StatusOK {
 		return nil, 0, nil // only the status is used, and the server may never close the connection
 	}
-	if !p.bodyMemory.reserve(framing.length) {
+	if !p.responseMemory.reserve(framing.length) {
 		return nil, 0, errBodyMemoryExhausted
 	}
 	switch {
@@ -164,10 +164,10 @@
 		body, err = readExactly(conn.reader, framing.length)
 	}
 	if err != nil {
-		p.bodyMemory.release(framing.length)
+		p.responseMemory.release(framing.length)
 		return nil, 0, err
 	}
-	p.bodyMemory.release(framing.length - len(body))
+	p.responseMemory.release(framing.length - len(body))
 	return body, len(body), nil
 }
 
