sidecar: a response waits for memory in place of being dropped

Cause: readBody took the memory for a response only after the request was executed, from the budget that request bodies had used up, and dropped the response if there was none. The head of a response had no limit of fields: 160 KB of short ones were parsed.

Change: a response of up to 4 KB uses memory that its request had before it was sent (requestMemory). A larger one waits, with its bytes in the kernel, until others are delivered, at most to the end of the exchange; it is reserved whole, so that no two wait for each other. A head or a trailer of over 100 lines is malformed and is not parsed.

Evidence: TestRequestAndResponseMemoryAreBounded failed 3 of 3 before (502 for an executed request), now -race -count=20 passes: both are served. The new rows of TestOutcomesOfNonIdempotentRequest pass.

--- a/internal/sidecar/upstream_response.go
+++ b/internal/sidecar/upstream_response.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -37,7 +38,6 @@
 
 var (
 	errMalformedResponse   = errors.New("malformed response")
-	errBodyMemoryExhausted = errors.New("body memory is exhausted")
 	errConnectionNotClosed = errors.New("server did not close the connection after a response without a length")
 )
 
@@ -107,8 +107,12 @@
 // readHeader reads the status and headers of a response and skips interim responses. http.ReadResponse is not used, as it
 // ignores a Content-Length next to a Transfer-Encoding.
 func readHeader(reader *bufio.Reader) (int, http.Header, error) {
-	lines := textproto.NewReader(reader)
 	for range maxInterimResponses {
+		head, err := readHead(reader)
+		if err != nil {
+			return 0, nil, err
+		}
+		lines := parseHead(head)
 		line, err := lines.ReadLine()
 		if err != nil {
 			return 0, nil, err
@@ -132,6 +136,33 @@
 	return 0, nil, errMalformedResponse
 }
 
+// readHead reads up to the end of the first empty line. A head that is too long or has too many lines is malformed, and is not
+// parsed.
+func readHead(reader *bufio.Reader) ([]byte, error) {
+	var head []byte
+	var scanner headScanner
+	for {
+		part, err := reader.ReadSlice('\n')
+		head = append(head, part...)
+		_, ended := scanner.scan(part)
+		switch {
+		case ended:
+			return head, nil
+		case len(head) > maxResponseHeaderBytes || scanner.lines > maxHeaderFields:
+			return nil, errMalformedResponse
+		case errors.Is(err, io.EOF) && len(head) > 0:
+			return nil, io.ErrUnexpectedEOF
+		case err != nil && !errors.Is(err, bufio.ErrBufferFull): // the line continues after a full buffer
+			return nil, err
+		}
+	}
+}
+
+// parseHead returns a reader of the lines of a head.
+func parseHead(head []byte) *textproto.Reader {
+	return textproto.NewReader(bufio.NewReaderSize(bytes.NewReader(head), len(head)))
+}
+
 func parseStatusLine(line string) (status int, err error) {
 	version, afterVersion, _ := strings.Cut(line, " ")
 	code, _, _ := strings.Cut(afterVersion, " ")
@@ -143,7 +174,7 @@
 }
 
 // readBody reads a complete body. A truncated body, or one whose length is ambiguous, is an error and is never forwarded.
-// reservedBytes is the reserved part of the body memory, 0 on error.
+// reservedBytes is the reserved part of the response memory, 0 on error.
 func (p *connPool) readBody(ctx context.Context, conn *upstreamConn, status int, header http.Header) (body []byte, reservedBytes int, err error) {
 	framing, err := bodyFraming(status, header)
 	if err != nil {
@@ -152,23 +183,22 @@
 	if framing.closeDelimited && status != http.StatusOK {
 		return nil, 0, nil // only the status is used, and the server may never close the connection
 	}
-	if !p.responseMemory.reserve(framing.length) {
-		return nil, 0, errBodyMemoryExhausted
-	}
+	reservation := &responseReservation{ctx: ctx, deadline: conn.readDeadline, memory: p.responseMemory, maxSize: framing.length}
 	switch {
 	case framing.chunked:
-		body, err = readChunked(conn.reader)
+		body, err = readChunked(conn.reader, reservation)
 	case framing.closeDelimited:
-		body, err = readUntilClose(ctx, conn)
+		body, err = readUntilClose(ctx, conn, reservation)
 	default:
-		body, err = readExactly(conn.reader, framing.length)
+		if err = reservation.cover(framing.length); err == nil {
+			body, err = readExactly(conn.reader, framing.length)
+		}
 	}
 	if err != nil {
-		p.responseMemory.release(framing.length)
+		reservation.shrink(0)
 		return nil, 0, err
 	}
-	p.responseMemory.release(framing.length - len(body))
-	return body, len(body), nil
+	return body, reservation.shrink(len(body)), nil
 }
 
 // framing determines the end of a body.
@@ -207,9 +237,12 @@
 // readUntilClose reads a body up to the end of the connection. The body is complete if the server closes the connection. A
 // reset is an error, as the process has died or the connection was cut. A connection that stays open is an error too, as
 // the server does not use the end of the connection to end the body.
-func readUntilClose(ctx context.Context, conn *upstreamConn) ([]byte, error) {
+func readUntilClose(ctx context.Context, conn *upstreamConn, reservation *responseReservation) ([]byte, error) {
 	var body []byte
 	for len(body) <= maxBodyBytes {
+		if err := reservation.cover(len(body) + minBodyRead); err != nil {
+			return nil, err
+		}
 		setReadDeadline(ctx, conn, time.Now().Add(closeDelimitedReadTimeout))
 		body = slices.Grow(body, minBodyRead)
 		n, err := conn.reader.Read(body[len(body):cap(body)])
@@ -229,15 +262,20 @@
 }
 
 // readChunked reads a chunked body and its trailer.
-func readChunked(reader *bufio.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(reader), maxBodyBytes+1))
+func readChunked(reader *bufio.Reader, reservation *responseReservation) ([]byte, error) {
+	chunks := &reservingReader{source: httputil.NewChunkedReader(reader), reservation: reservation}
+	body, err := io.ReadAll(io.LimitReader(chunks, maxBodyBytes+1))
 	if err != nil {
 		return nil, err
 	}
 	if len(body) > maxBodyBytes {
 		return nil, errMalformedResponse
 	}
-	_, err = textproto.NewReader(reader).ReadMIMEHeader()
+	trailer, err := readHead(reader)
+	if err != nil {
+		return nil, err
+	}
+	_, err = parseHead(trailer).ReadMIMEHeader()
 	return body, err
 }
 
