sidecar: clients at full speed wait while the processor is nearly used up

What callers saw: beside a few connections with small requests at full speed, answers of other clients came late (48 of 164, the longest 0.78 s at a quarter of a core), requests were rejected and an attempt was sent with a timeout that had passed; the endpoint watch had no data within its 2.5 s.

Cause: with one running thread the runtime takes connections in turn, and a connection whose next request is already there is not interrupted for 10 ms. Eight of them take 80 ms of each turn, a request of another client needs several turns, and a quota of the kernel stops the process for most of each 0.1 s. The network is polled only when nothing else can run.

Change: processorBudget compares the processor time that the process has used with limits.cores. Nothing waits once a drain has begun.

Why it works: the thread is idle for a part of each moment, so the event loop, the network and the watch get their turn, whatever shape the requests have.

--- a/cmd/sidecar/crowd_rig_test.go
+++ b/cmd/sidecar/crowd_rig_test.go
@@ -16,7 +16,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -422,35 +421,46 @@
 // crowd connects clients that each write a text, read until their connection ends, and start again at once. It returns a
 // function that ends them.
 func (r *rig) crowd(count int, text func(client int) string) (end func()) {
+	return r.reconnecting(count, func(client int, conn net.Conn) {
+		tryWrite(conn, text(client))
+		discard(conn)
+	})
+}
+
+// reconnecting lets each of some clients use a connection until it ends, and connects it again at once. It returns a function that
+// closes all connections and waits for the clients.
+func (r *rig) reconnecting(count int, use func(client int, conn net.Conn)) (end func()) {
 	var clients sync.WaitGroup
-	var ended atomic.Bool
 	var mu sync.Mutex
+	ended := false
 	open := map[net.Conn]struct{}{}
+	register := func(conn net.Conn) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		open[conn] = struct{}{}
+		return !ended
+	}
 	for i := range count {
 		clients.Go(func() {
-			for !ended.Load() {
+			for running := true; running; {
 				conn, err := net.DialTimeout("tcp", r.address, time.Second)
 				if err != nil {
 					time.Sleep(10 * time.Millisecond)
 					continue
 				}
-				mu.Lock()
-				open[conn] = struct{}{}
-				mu.Unlock()
-				tryWrite(conn, text(i))
-				if !ended.Load() {
-					discard(conn)
+				if running = register(conn); running {
+					use(i, conn)
 				}
+				conn.Close()
 				mu.Lock()
 				delete(open, conn)
 				mu.Unlock()
-				conn.Close()
 			}
 		})
 	}
 	return func() {
-		ended.Store(true)
 		mu.Lock()
+		ended = true
 		for conn := range open {
 			conn.Close()
 		}
--- a/cmd/sidecar/fast_clients_test.go
+++ b/cmd/sidecar/fast_clients_test.go
@@ -20,36 +20,16 @@
 // fastClients write a text at full speed on their connections and read what comes, without waiting for it. They start again when
 // a connection ends.
 func (r *rig) fastClients(text func(number int64) string) (end func()) {
-	var clients sync.WaitGroup
-	var ended atomic.Bool
 	var number atomic.Int64
-	for range fastClientCount {
-		clients.Go(func() {
-			for !ended.Load() {
-				conn, err := net.DialTimeout("tcp", r.address, time.Second)
-				if err != nil {
-					continue
-				}
-				read := make(chan struct{})
-				go func() {
-					defer close(read)
-					discard(conn)
-				}()
-				writer := bufio.NewWriter(conn)
-				for !ended.Load() {
-					if _, err := writer.WriteString(text(number.Add(1))); err != nil {
-						break
-					}
-				}
-				conn.Close()
-				<-read
+	return r.reconnecting(fastClientCount, func(_ int, conn net.Conn) {
+		go discard(conn)
+		writer := bufio.NewWriter(conn)
+		for {
+			if _, err := writer.WriteString(text(number.Add(1))); err != nil {
+				return
 			}
-		})
-	}
-	return func() {
-		ended.Store(true)
-		clients.Wait()
-	}
+		}
+	})
 }
 
 // sequentialClients send one request at a time without a pause, each with new names.
--- a/internal/sidecar/client_conn.go
+++ b/internal/sidecar/client_conn.go
@@ -58,6 +58,8 @@
 	handled        bool      // the request that was read last has reached the frontend
 	malformed      bool      // a malformed request was read: the bytes that follow may be a part of it
 	readClosed     bool      // set when this side closes: nothing more is read
+
+	requests rateCounter // only the goroutine that reads uses it
 }
 
 // Close implements net.Conn. It closes the sending side first and lingers, so that the client gets its last response even
--- a/internal/sidecar/client_drain.go
+++ b/internal/sidecar/client_drain.go
@@ -22,6 +22,9 @@
 	}
 }
 
+// endPacing makes nothing wait for processor time any more, as the drain has a deadline. It must be called once.
+func (l *clientListener) endPacing() { close(l.paceEnded) }
+
 // drain closes each connection as soon as it has no request. After the deadline it waits only for connections whose clients are
 // still owed a response, and then ends reading. It reports whether all connections were closed.
 func (l *clientListener) drain(deadline time.Time) bool {
--- a/internal/sidecar/client_listener.go
+++ b/internal/sidecar/client_listener.go
@@ -35,7 +35,12 @@
 	lingerTimeout time.Duration
 	monitor       *monitor
 
-	acceptErrorLoggedAt time.Time // used only by the goroutine that accepts
+	processor *processorBudget // nil: no limit
+	paceEnded chan struct{}    // closed when a drain begins: nothing waits for processor time any more
+
+	// Only the goroutine that accepts uses these fields.
+	acceptErrorLoggedAt time.Time
+	accepted            rateCounter
 
 	mu sync.Mutex
 	// readAheadEnded: no more bytes are read behind active requests; see clientConn.fillReadAhead.
@@ -57,6 +62,7 @@
 		maxPersistent: maxPersistent,
 		capacityFreed: make(chan struct{}, 1),
 		closed:        make(chan struct{}),
+		paceEnded:     make(chan struct{}),
 		lingerTimeout: lingerTimeout,
 		conns:         map[*clientConn]struct{}{},
 	}
@@ -65,10 +71,14 @@
 // Accept implements net.Listener. It waits until the table has capacity for the connection, and evicts another connection if
 // necessary and possible.
 func (l *clientListener) Accept() (net.Conn, error) {
+	if l.accepted.count >= unpacedConns {
+		l.processor.wait(maxAcceptPause, l.paceEnded)
+	}
 	tcpConn, err := l.acceptTCP()
 	if err != nil {
 		return nil, err
 	}
+	l.accepted.add(time.Now())
 	rawConn, err := tcpConn.SyscallConn()
 	if err != nil {
 		return nil, err
--- a/internal/sidecar/client_read.go
+++ b/internal/sidecar/client_read.go
@@ -16,6 +16,9 @@
 
 // Read implements net.Conn. net/http reads on one goroutine at a time.
 func (c *clientConn) Read(p []byte) (int, error) {
+	if c.requests.count > unpacedRequests && c.awaitsNextRequest() {
+		c.listener.processor.wait(maxRequestPause, c.listener.paceEnded)
+	}
 	var n int
 	var err error
 	readReady := func(fd uintptr) bool {
@@ -45,6 +48,13 @@
 	return n, err
 }
 
+// awaitsNextRequest reports whether no byte of the next request has been delivered.
+func (c *clientConn) awaitsNextRequest() bool {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	return c.phase == phaseIdle && c.head == (headScanner{})
+}
+
 // readAvailable reads without blocking. wouldBlock is true if no bytes are available. net/http gets one request at a time:
 // no byte beyond a request's head, and none beyond the body whose size the frontend has set with expectBody.
 func (c *clientConn) readAvailable(fd int, p []byte) (n int, wouldBlock bool, err error) {
@@ -118,6 +128,7 @@
 		}
 		if ended {
 			c.head = headScanner{}
+			c.requests.add(time.Now())
 		}
 		if !c.requestStarted {
 			c.requestStarted = true
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -83,6 +83,7 @@
 	clients := newClientListener(listener, clientSockets, int(persistentConnFraction*float64(config.Sockets)))
 	clients.memory = newByteBudget(memory.readAheadOfClients)
 	clients.partialMemory = newByteBudget(memory.partialRequests)
+	clients.processor = newProcessorBudget(config.Cores)
 	clients.monitor = loop.pool.guard.monitor
 	return &Sidecar{
 		config:           config,
@@ -206,6 +207,7 @@
 	slog.Info(DrainingMessage)
 	deadline := time.Now().Add(s.serveWindow + finalResponseWindow)
 	s.frontend.drainDeadline.Store(&deadline)
+	s.frontend.listener.endPacing()
 	deadlineTimer := time.AfterFunc(time.Until(deadline), func() { close(s.frontend.drainExpired) })
 	defer deadlineTimer.Stop()
 	time.Sleep(s.acceptWindow)
