Failing tests: a server's successor at its address is taken for it

A real sidecar follows a list in which the former server is still listed when its successor is announced at the same address under another uid.

--- a/cmd/sidecar/crowd_rig_test.go
+++ b/cmd/sidecar/crowd_rig_test.go
@@ -41,6 +41,7 @@
 
 const rigClasses = `[{"name":"safe","effect":"read_like","group":"all","on_time_ms":300,"hard_limit_ms":1500},
 	{"name":"keyed","effect":"idempotency_key","group":"all","window_ms":6000,"on_time_ms":300,"hard_limit_ms":3000},
+	{"name":"cell","effect":"idempotency_key","group":"cell","window_ms":6000,"on_time_ms":300,"hard_limit_ms":3000},
 	{"name":"once","effect":"non_idempotent","on_time_ms":300,"hard_limit_ms":1500}]`
 
 // programPath builds the program as the deploy file does, without the race detector, and returns its path. The build is shared
@@ -167,7 +168,8 @@
 	dir := t.TempDir()
 	config := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"1",
 		"limits":{"cores":%g,"memory_mb":%d,"sockets":%d},"known":%s,
-		"settings":{"classes":%s,"discovery":"subscribe","quantum_ms":2,"family_info":{"warm_keys":true}}}`,
+		"settings":{"classes":%s,"discovery":"subscribe","quantum_ms":2,"family_info":{"warm_keys":true},
+		"limits":{"max_attempts":3},"rules":{"cold_from":0.12,"cold_ms":15000,"drain_grace_ms":750,"fall_ms":2000,"fall_multiple":4}}}`,
 		r.discovery.Listener.Addr(), options.cores, options.memoryMB, options.sockets, known, rigClasses)
 	configPath := filepath.Join(dir, "config.json")
 	if err := os.WriteFile(configPath, []byte(config), 0o600); err != nil {
@@ -412,7 +414,7 @@
 	switch class {
 	case "safe":
 		return "GET /api HTTP/1.1\r\n" + head + "\r\n"
-	case "keyed":
+	case "keyed", "cell":
 		head += "Idempotency-Key: " + id + "\r\n"
 	}
 	return fmt.Sprintf("POST /api HTTP/1.1\r\n%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
