sidecar: a server whose address another one has taken counts as removed

What callers saw: a keyed request was executed twice, and a new server in slow start got the whole load of a warm one, while a list still had the server that had been at its address before.

Cause: upstreams were kept by uid alone. Two ready entries with one address are two names of one process; pool, slow start, outlier state and the scope of an idempotency key followed the name.

Change: addressOwners retains which server was announced last at an address, by boot time, or by the later list where boot times are equal. The other one is retired before the balancer hears of the list, as if the list had removed it, so a dial that has begun ends unsent at the final check. Where one list has both with equal boot times nothing tells them apart, and both stay.

What stays: until discovery announces the successor, nothing tells that it is there.

--- a/internal/sidecar/endpoint_updates.go
+++ b/internal/sidecar/endpoint_updates.go
@@ -30,21 +30,41 @@
 	l.discovery.revision.Store(update.endpoints.Revision)
 	servers := make([]balance.Server, 0, len(endpoints))
 	listed := make(map[balance.ServerID]bool, len(endpoints))
+	removed := map[balance.ServerID]bool{}
+	l.addressOwners.beginUpdate()
 	for i := range endpoints {
-		server := l.applyEndpoint(nowMS, &endpoints[i])
-		servers = append(servers, server)
+		server, displaced := l.applyEndpoint(nowMS, &endpoints[i])
+		servers = append(append(servers, server), displaced...)
 		listed[server.ID] = true
+		if endpoints[i].State == stateRemoved {
+			removed[server.ID] = true
+		}
 	}
 	if update.kind != balance.UpdateDelta {
 		l.retireUnlisted(listed)
+		l.addressOwners.retain(func(id balance.ServerID) bool { return listed[id] && !removed[id] })
+	} else if len(removed) > 0 {
+		l.addressOwners.retain(func(id balance.ServerID) bool { return !removed[id] })
 	}
 	l.dispatch(nowMS, balance.EndpointUpdate{Kind: update.kind, Servers: servers})
 }
 
 // applyEndpoint replaces the upstream of an endpoint if the state, address or process has changed. It returns the endpoint
-// as a server of the balancer.
-func (l *eventLoop) applyEndpoint(nowMS float64, listed *endpoint) balance.Server {
-	server := l.config.toServer(listed)
+// as a server of the balancer. A server whose address has been taken by another one counts as removed, whatever its entry says;
+// displaced holds the one that this endpoint displaces.
+func (l *eventLoop) applyEndpoint(nowMS float64, listed *endpoint) (server balance.Server, displaced []balance.Server) {
+	server = l.config.toServer(listed)
+	if server.State == balance.Ready {
+		present, lost, found := l.addressOwners.claim(server.ID, listed)
+		if !present {
+			server.State = balance.Removed
+		}
+		if former := l.readyUpstreams[lost]; found && former != nil && former.address == listed.Address {
+			l.logDisplaced(former, listed)
+			l.retireUpstream(former)
+			displaced = append(displaced, balance.Server{ID: lost, State: balance.Removed})
+		}
+	}
 	known := l.readyUpstreams[server.ID]
 	sameProcess := known != nil && known.bootMS == listed.BootMS
 	if sameProcess {
@@ -53,7 +73,7 @@
 		server.StartedAt = l.boots.startedAtMS(listed.BootMS, nowMS)
 	}
 	if sameProcess && server.State == balance.Ready && known.address == listed.Address {
-		return server
+		return server, displaced
 	}
 	l.retireUpstream(known)
 	if server.State == balance.Ready {
@@ -67,7 +87,12 @@
 		}
 		traceUpstream("server ready", l.readyUpstreams[server.ID])
 	}
-	return server
+	return server, displaced
+}
+
+// logDisplaced logs that a server has lost its address to another one.
+func (l *eventLoop) logDisplaced(former *upstreamHost, successor *endpoint) {
+	loopLog.Info("server displaced by another one at its address", "address", former.address, "former", former.id, "successor", successor.UID)
 }
 
 // retireUnlisted retires the upstreams that are missing from a full list.
--- a/internal/sidecar/event_loop.go
+++ b/internal/sidecar/event_loop.go
@@ -36,6 +36,7 @@
 	calls          callTable
 	timers         timerQueue
 	readyUpstreams map[balance.ServerID]*upstreamHost
+	addressOwners  addressOwners
 	placement      placementState
 }
 
@@ -51,6 +52,7 @@
 		pool:           pool,
 		calls:          callTable{byID: map[balance.RequestID]*call{}},
 		readyUpstreams: map[balance.ServerID]*upstreamHost{},
+		addressOwners:  newAddressOwners(),
 		placement:      placementState{timing: defaultPlacementTiming(), version: config.Version},
 	}
 }
