sidecar: request IDs are retained while memory lasts, and until the last attempt ends

What callers saw: a non-idempotent request whose client had left was executed again when its ID came again.

Cause: an ID was released when its handler returned, which is when the client leaves, and forgotten 3 to 6 s later, while an attempt may last as long as the request's timeout. The maps had no bound: they grew with every new name.

Change: the end of a call, after its last attempt, releases its ID, together with its memory. IDs of forwarded requests are retained in two generations that are bounded by the memory plan (23,000 each at 32 MB) and are dropped when the newer one is full, not by time. A generation that is full within 5 s makes the sidecar reject further requests, unsent, with 503. IDs of requests that were never forwarded take no memory, so rejections at full speed do not fill it.

TestRequestIDsExpire asserted that an ID is forgotten 3 to 6 s after its response, which is the fault; TestRequestIDsAreBounded asks for the bound, for the least retention and for the conflict as long as an ID is retained. A new process knows no ID of the former one, as before.

--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -19,8 +19,9 @@
 	outbound *outboundRequest
 	deadline time.Time     // when the client stops waiting
 	response chan response // buffered, so that the event loop sends its response without blocking
-	// reservedBytes of the request memory are released when the call leaves the table of the event loop.
-	reservedBytes int
+	// onDone releases what the frontend holds for the call: its memory and its ID. It is called once the call is answered and
+	// its last attempt has ended, which may be long after its client has left. forwarded reports whether there was an attempt.
+	onDone func(forwarded bool)
 
 	answered  atomic.Bool // set by the goroutine that provides the response; see markAnswered
 	responded atomic.Bool // the frontend starts to write a response, the event loop's or its own
@@ -95,9 +96,8 @@
 
 // callTable holds the calls that are unanswered or have attempts in flight.
 type callTable struct {
-	byID          map[balance.RequestID]*call
-	lastID        balance.RequestID
-	requestMemory *byteBudget // of which each call has reserved its part; nil: no limit
+	byID   map[balance.RequestID]*call
+	lastID balance.RequestID
 }
 
 // add assigns the next request ID to a call and adds the call to the table.
@@ -107,11 +107,13 @@
 	t.byID[t.lastID] = added
 }
 
-// releaseIfDone removes a call that is answered and has no attempt in flight, and releases its memory.
+// releaseIfDone removes a call that is answered and has no attempt in flight, and tells the frontend so.
 func (t *callTable) releaseIfDone(done *call) {
 	if done.inFlight > 0 || !done.answered.Load() || t.byID[done.request.ID] == nil {
 		return
 	}
 	delete(t.byID, done.request.ID)
-	t.requestMemory.release(done.reservedBytes)
+	if done.onDone != nil {
+		done.onDone(len(done.attempts) > 0)
+	}
 }
--- a/internal/sidecar/frontend.go
+++ b/internal/sidecar/frontend.go
@@ -38,7 +38,7 @@
 	post       func(loopEvent)
 	listener   *clientListener
 	requestIDs *recentRequestIDs
-	// requestMemory is for requests in flight. The call of a request releases its part.
+	// requestMemory is for requests in flight. The end of a call releases its part.
 	requestMemory  *byteBudget
 	responseMemory *byteBudget
 	monitor        *monitor
@@ -140,14 +140,20 @@
 		writeResponse(w, r, response{status: statusRejected})
 		return
 	}
-	idHash, ok := f.requestIDs.claim(r.Header.Get(requestIDHeader))
-	if !ok {
+	idHash, err := f.requestIDs.claim(r.Header.Get(requestIDHeader))
+	if err != nil {
 		f.requestMemory.release(size)
-		f.rejectMalformed(w, r, &malformedError{http.StatusConflict, "X-Request-ID is in use"})
+		if errors.Is(err, errTooManyRequests) {
+			f.rejectForMemory(w, r)
+			return
+		}
+		f.rejectMalformed(w, r, &malformedError{http.StatusConflict, err.Error()})
 		return
 	}
-	defer f.requestIDs.release(idHash)
-	call.reservedBytes = size
+	call.onDone = func(forwarded bool) {
+		f.requestMemory.release(size)
+		f.requestIDs.release(idHash, forwarded)
+	}
 	f.serveCall(w, r, call)
 }
 
@@ -199,7 +205,7 @@
 	// The client may have disconnected while net/http had this request buffered.
 	if err := clientConnOf(r).disconnectErr(); err != nil {
 		f.monitor.count(abandonedByClient)
-		f.requestMemory.release(call.reservedBytes)
+		call.onDone(false)
 		writeResponse(w, r, disconnectedResponse(w, err))
 		return
 	}
--- a/internal/sidecar/memory_budget.go
+++ b/internal/sidecar/memory_budget.go
@@ -19,18 +19,19 @@
 	runtimeMemoryFraction = 0.85
 	// clientMemoryFraction is the part of the runtime's memory that may be live for connections and requests. The rest is
 	// for the balancer, and for garbage between two collections.
-	clientMemoryFraction = 0.7
+	clientMemoryFraction = 0.75
 )
 
 // Shares of the memory for connections and requests. Each kind of use has its own, so that no kind can use up the memory of
 // another.
 const (
-	clientConnShare   = 0.31
-	upstreamConnShare = 0.16
-	requestShare      = 0.30
+	clientConnShare   = 0.30
+	upstreamConnShare = 0.15
+	requestShare      = 0.28
 	partialShare      = 0.08
-	responseShare     = 0.09
+	responseShare     = 0.08
 	readAheadShare    = 0.06
+	requestIDShare    = 0.05
 )
 
 // Memory of one connection or request: buffers, stacks and tables, in bytes.
@@ -53,6 +54,7 @@
 	requests           int // bytes; requests in flight
 	responses          int // bytes; response bodies beyond smallResponseBytes
 	readAheadOfClients int // bytes; read ahead behind active requests
+	requestIDs         int // IDs of requests that have ended
 }
 
 // newMemoryPlan divides a memory limit in megabytes; 0 stands for defaultMemoryMB.
@@ -69,6 +71,7 @@
 		requests:           share(requestShare),
 		responses:          share(responseShare),
 		readAheadOfClients: share(readAheadShare),
+		requestIDs:         share(requestIDShare) / requestIDMemory,
 	}
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -77,7 +77,6 @@
 		maxInFlight = min(maxInFlight, config.maxOpenRequests)
 	}
 	loop := newEventLoop(config, balancer, newConnPool(config, upstreamSockets, responseMemory))
-	loop.calls.requestMemory = requestMemory
 	loop.discovery = newDiscoveryClient(config.DiscoveryAddress, loop.post, func(task func()) { loop.workers.Go(task) })
 	loop.peers = listenPeers(config.peers)
 	clients := newClientListener(listener, clientSockets, int(persistentConnFraction*float64(config.Sockets)))
@@ -97,7 +96,7 @@
 			post:          loop.post,
 			listener:      clients,
 			monitor:       loop.pool.guard.monitor,
-			requestIDs:    newRecentRequestIDs(),
+			requestIDs:    newRecentRequestIDs(memory.requestIDs),
 			requestMemory: requestMemory, responseMemory: responseMemory,
 			maxInFlight:  int64(maxInFlight),
 			writeTimeout: writeTimeout, lateResponseTimeout: schedulingAllowance,
