sidecar: connections that wait for a body do not evict idle ones

What callers saw: beside 600 half bodies at 256 descriptors, usual clients waited 0.32 to 0.39 s for a new connection, as the sidecar had closed theirs.

Cause: a connection that waits for the rest of a body is active, and so counted among those that have carried a request; above a quarter of the descriptors the longest idle one, of a usual client, was closed. While the table was full of them within their grace period, an idle connection was the first candidate, too.

Change: they count as persistent only once the request is complete, and an idle connection is not evicted while such a connection soon ends or becomes evictable.

Evidence: TestPartialBodiesEvictIdleConnections failed 5 of 5 before, passes -race -count=10.

--- a/internal/sidecar/client_listener.go
+++ b/internal/sidecar/client_listener.go
@@ -220,13 +220,14 @@
 }
 
 // evictionCandidate returns the evictable connection of the lowest phase that has been in its phase for longest. It also
-// reports whether bytes of a first request may have arrived on any new connection and are not processed yet. A connection
+// reports whether bytes of a first request may have arrived on any new connection and are not processed yet, or a body is
+// awaited: such a connection soon has a complete request or becomes evictable. A connection
 // whose last response is not delivered yet is no candidate: if the client has sent bytes, or sends more, closing resets the
 // connection and the client loses the rest of the response. The caller holds the lock.
 func (l *clientListener) evictionCandidate(now time.Time) (candidate *clientConn, firstRequestExpected bool) {
 	for conn := range l.conns {
 		if conn.phase != phaseClosing && !conn.evictable(now) && !conn.bodyStalled(now) {
-			firstRequestExpected = firstRequestExpected || conn.phase == phaseNew
+			firstRequestExpected = firstRequestExpected || conn.phase == phaseNew || conn.bodyExpected()
 			continue
 		}
 		if l.awaitsDelivery(conn, now) {
@@ -278,7 +279,7 @@
 	var longestIdle *clientConn
 	now := time.Now()
 	for conn := range l.conns {
-		if conn.phase >= phaseIdle {
+		if conn.phase >= phaseIdle && !conn.bodyExpected() {
 			persistent++
 		}
 		if conn.phase == phaseIdle && conn.evictable(now) && (longestIdle == nil || conn.phaseSince.Before(longestIdle.phaseSince)) {
--- a/internal/sidecar/client_listener_test.go
+++ b/internal/sidecar/client_listener_test.go
@@ -241,3 +241,33 @@
 		return evicted
 	})
 }
+
+// Many clients that stop in the middle of a body do not make the sidecar close the idle connections of other clients, however few
+// connections it may keep.
+func TestPartialBodiesEvictIdleConnections(t *testing.T) {
+	server := newBackend(t, "a", serveOK)
+	document := newConfigDocument(newFakeRegistry(t).address(), server.endpoint)
+	document["limits"] = map[string]any{"sockets": minSockets}
+	sidecar := startSidecar(t, document)
+	idle := sidecar.dial()
+	reader := bufio.NewReader(idle)
+	request := func() int {
+		writeTo(t, idle, sidecar.wireText(sidecar.newRequest("charge", 2*time.Second)))
+		return readStatus(t, reader)
+	}
+	if status := request(); status != 200 {
+		t.Fatalf("status %d", status)
+	}
+	for i := range 2 * minSockets {
+		req := sidecar.newRequest("charge", time.Second)
+		req.Body, req.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", 1000))), 1000
+		text := sidecar.wireText(req)
+		tryWrite(sidecar.dial(), text[:len(text)-500])
+		if i%40 == 0 { // the grace period of the partial requests ends
+			time.Sleep(2 * partialRequestGrace)
+		}
+	}
+	if status := request(); status != 200 {
+		t.Errorf("on the idle connection: status %d", status)
+	}
+}
--- a/internal/sidecar/partial_requests.go
+++ b/internal/sidecar/partial_requests.go
@@ -105,6 +105,11 @@
 	return c.phase == phaseActive && c.bodyRemaining > 0 && c.readerWaiting && !c.shed && now.Sub(c.phaseSince) >= partialRequestGrace
 }
 
+// bodyExpected reports whether the client has sent only a part of a body. The caller holds the lock of the listener.
+func (c *clientConn) bodyExpected() bool {
+	return c.phase == phaseActive && (c.bodyRemaining > 0 || c.shed)
+}
+
 // reserveBody reserves memory for more of the active request's body.
 func (c *clientConn) reserveBody(size int) error {
 	if c == nil {
