sidecar: a failed write of any response tells that the client has disconnected

Cause: the responses to ready checks are written by net/http after the handler, so their write error was not recorded. The check of the close then looked at the socket, where unread bytes of the client stood before its reset, and took the client for connected.

Change: clientConn.Write records the first error. The check itself is unchanged.

--- a/internal/sidecar/client_conn.go
+++ b/internal/sidecar/client_conn.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"errors"
 	"net"
 	"syscall"
@@ -76,6 +77,17 @@
 	return c.TCPConn.Close()
 }
 
+// Write implements net.Conn. It records the first error: the client has disconnected or does not read.
+func (c *clientConn) Write(p []byte) (int, error) {
+	n, err := c.TCPConn.Write(p)
+	if err != nil {
+		c.listener.mu.Lock()
+		c.writeErr = cmp.Or(c.writeErr, err)
+		c.listener.mu.Unlock()
+	}
+	return n, err
+}
+
 // CloseWrite closes the sending side. net/http calls it after the last response, half a second before Close.
 func (c *clientConn) CloseWrite() error {
 	c.listener.setPhase(c, phaseClosing)
