sidecar: clients at full speed do not keep a drain from its orderly end

Cause: accepting ended in an orderly way only once no connection was left. Clients that always come back keep that from happening, and at the deadline the listener was closed over its queue, which resets what is queued. A client that always sends more had up to 4 KB of further requests read with each one, which nobody answered then.

Change: accepting ends 75 ms before that deadline at the latest; what is queued by then is accepted and served. In the last phase of a drain one request is read at a time, by a look at the socket, and the rest stays there, so that its client sends it again.

--- a/internal/sidecar/client_drain.go
+++ b/internal/sidecar/client_drain.go
@@ -25,6 +25,17 @@
 // endPacing makes nothing wait for processor time any more, as the drain has a deadline. It must be called once.
 func (l *clientListener) endPacing() { close(l.paceEnded) }
 
+// acceptEndMargin is the time between the end of accepting and the end of connections without a response: enough for the first
+// request of a connection that was accepted last.
+const acceptEndMargin = partialRequestGrace + 5*capacityPollInterval
+
+// drainUntil closes each connection as soon as it has no request, until none is left or a time is reached.
+func (l *clientListener) drainUntil(end time.Time) {
+	for ; l.openCount() > 0 && time.Now().Before(end); time.Sleep(capacityPollInterval) {
+		l.shutdownIdle()
+	}
+}
+
 // drain closes each connection as soon as it has no request. After the deadline it waits only for connections whose clients are
 // still owed a response, and then ends reading. It reports whether all connections were closed.
 func (l *clientListener) drain(deadline time.Time) bool {
--- a/internal/sidecar/client_read.go
+++ b/internal/sidecar/client_read.go
@@ -84,10 +84,15 @@
 	return c.readSocket(fd, p)
 }
 
-// readSocket reads once from the socket. Bytes that net/http must not get yet go to the read-ahead buffer. The caller holds
-// the lock of the listener.
+// readSocket reads once from the socket. Bytes that net/http must not get yet go to the read-ahead buffer. In the last phase of a
+// drain they stay in the socket instead: what is read must be answered, and a client that always sends more would never be done.
+// The caller holds the lock of the listener.
 func (c *clientConn) readSocket(fd int, p []byte) (n int, wouldBlock bool, err error) {
-	size, err := readNonblocking(fd, c.listener.readBuffer[:])
+	readBytes := readNonblocking
+	if c.listener.readAheadEnded {
+		readBytes = peekNonblocking
+	}
+	size, err := readBytes(fd, c.listener.readBuffer[:])
 	if errors.Is(err, syscall.EAGAIN) {
 		c.readerWaiting = true
 		c.listener.signalCapacity()
@@ -104,6 +109,10 @@
 	if err != nil {
 		return 0, false, err
 	}
+	if c.listener.readAheadEnded {
+		_, err = readNonblocking(fd, c.listener.readBuffer[:n])
+		return n, false, err
+	}
 	if !c.readAhead.append(data[n:], arrivedAt) {
 		c.setReadErr(errPipelineTooLong) // the read-ahead memory is exhausted
 	}
@@ -187,6 +196,22 @@
 	}
 }
 
+// peekNonblocking is readNonblocking, but leaves the bytes in the socket.
+func peekNonblocking(fd int, p []byte) (int, error) {
+	for {
+		n, _, err := syscall.Recvfrom(fd, p, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case errors.Is(err, syscall.EINTR):
+		case err != nil:
+			return 0, err
+		case n == 0:
+			return 0, io.EOF
+		default:
+			return n, nil
+		}
+	}
+}
+
 // openAndEmpty reports whether the peer has not closed a connection and its socket holds no unread bytes.
 func openAndEmpty(conn net.Conn) bool { return errors.Is(peekConn(conn), syscall.EAGAIN) }
 
@@ -211,16 +236,8 @@
 // peekDescriptor is peekRead for a file descriptor.
 func peekDescriptor(fd int) error {
 	var buffer [1]byte
-	for {
-		n, _, err := syscall.Recvfrom(fd, buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case errors.Is(err, syscall.EINTR):
-		case err == nil && n == 0:
-			return io.EOF
-		default:
-			return err
-		}
-	}
+	_, err := peekNonblocking(fd, buffer[:])
+	return err
 }
 
 // unacknowledgedBytes returns how many written bytes the machine of the peer has not acknowledged, or 0 if the kernel does
--- a/internal/sidecar/frontend.go
+++ b/internal/sidecar/frontend.go
@@ -67,19 +67,18 @@
 	}
 }
 
-// closeConnections closes all connections after their responses. It stops accepting only when no connection is left: a client
-// that sends a request while its connection is being closed sends the request again on a new connection. serveErr signals
-// that the server has stopped accepting. http.Server.Shutdown is not used, because it also closes connections on which a
+// closeConnections closes all connections after their responses. It stops accepting only when no connection is left, or shortly
+// before the deadline: a client that sends a request while its connection is being closed sends the request again on a new
+// connection. Connections that are queued at that time are accepted and served: closing the listener over them would reset them.
+// serveErr signals that the server has stopped accepting. http.Server.Shutdown is not used, because it also closes connections on which a
 // request is being read. After the deadline, connections are closed that owe their client no response; a connection with an
 // unanswered request is closed by nothing but its response, however late the process is.
 func (f *frontend) closeConnections(server *http.Server, serveErr <-chan error, deadline time.Time) error {
 	f.listener.endReadAhead() // before closeAfterResponse is set: announceClose depends on it
 	f.closeAfterResponse.Store(true)
-	var acceptErr error
-	if f.listener.drain(deadline) {
-		acceptErr = f.endAccepting(serveErr, deadline)
-		f.listener.drain(deadline)
-	}
+	f.listener.drainUntil(deadline.Add(-acceptEndMargin))
+	acceptErr := f.endAccepting(serveErr, deadline)
+	f.listener.drain(deadline)
 	return errors.Join(acceptErr, server.Close()) // Close closes the connections of clients that do not read their responses
 }
 
--- a/internal/sidecar/late_drain_test.go
+++ b/internal/sidecar/late_drain_test.go
@@ -4,6 +4,9 @@
 	"bufio"
 	"errors"
 	"io"
+	"net"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -117,3 +120,50 @@
 		})
 	}
 }
+
+// Clients that send without a pause, each again on a new connection, keep neither the connections nor the listener open at the end
+// of a drain: each request that was read is answered, and a connection that was queued when accepting ends is served.
+func TestDrainEndsBesideClientsAtFullSpeed(t *testing.T) {
+	front := newTestFrontend(t, 20, 20, nil)
+	front.monitor = &monitor{}
+	front.listener.monitor = front.monitor
+	httpServer := front.httpServer()
+	serveErr := make(chan error, 1)
+	go func() { serveErr <- httpServer.Serve(front.listener) }()
+	address := front.listener.Addr().String()
+	text := strings.Repeat("GET "+readyPath+" HTTP/1.1\r\nHost: b\r\n\r\n", 50)
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	for range 8 {
+		clients.Go(func() {
+			for {
+				conn, err := net.Dial("tcp", address)
+				if err != nil {
+					return // accepting has ended
+				}
+				go discard(conn)
+				for err == nil {
+					_, err = io.WriteString(conn, text)
+				}
+				conn.Close()
+				select {
+				case <-stop:
+					return
+				default:
+				}
+			}
+		})
+	}
+	waitUntil(t, "the clients", func() bool { return front.listener.openCount() >= 8 })
+	if err := front.closeConnections(httpServer, serveErr, time.Now().Add(2*finalResponseWindow)); err != nil {
+		t.Error(err)
+	}
+	if _, err := net.Dial("tcp", address); err == nil {
+		t.Error("connections are accepted after the drain")
+	}
+	close(stop)
+	clients.Wait()
+	if violations := front.monitor.totalViolations(); violations != 0 {
+		t.Errorf("%d violations of invariants", violations)
+	}
+}
