faultsoak: the least limits, crowds of partial requests and clients at full speed

A seed now draws memory_mb from 32, 48, 64 and 192 and descriptors from 400 and 1,024; two kinds of faults, from a generator of their own, bring 300 clients that send a part of a request and 8 that send at full speed; rule memory compares the peak of each process with its limit. Seeds keep what they drew before.

--- a/internal/faultsoak/inject.go
+++ b/internal/faultsoak/inject.go
@@ -42,6 +42,10 @@
 		s.clients[planned.Sidecar].faults.add(planned.Kind, until, planned.Share)
 	case faultCrossing:
 		s.clients[planned.Sidecar].crossIdleTimeouts(planned.At, s.generator("crossing", planned.Sidecar, int(planned.At)))
+	case faultPartial:
+		s.clients[planned.Sidecar].crowdPartialRequests(until, s.generator("partial", planned.Sidecar, int(planned.At)))
+	case faultFast:
+		s.clients[planned.Sidecar].sendAtFullSpeed(until)
 	case faultIdle:
 		s.clients[planned.Sidecar].holdIdleConnections(idleConnections, until)
 	case faultDescriptorExhaustion:
--- a/internal/faultsoak/plan.go
+++ b/internal/faultsoak/plan.go
@@ -37,6 +37,8 @@
 	faultDescriptorExhaustion faultKind = "clients-crowd"     // idle connections use up the file descriptors
 	faultLateErrors           faultKind = "late-errors"       // an error follows a complete response on its connection
 	faultCrossing             faultKind = "clients-cross"     // requests cross the close of idle connections
+	faultPartial              faultKind = "clients-partial"   // hundreds of clients send a part of a request, again and again
+	faultFast                 faultKind = "clients-fast"      // a few clients send small requests at full speed
 )
 
 // allFaults are the kinds to draw from. Kinds that are listed twice are drawn twice as often.
@@ -50,17 +52,20 @@
 // laterFaults are kinds that are drawn besides allFaults, from a generator of their own: each seed keeps its draws from allFaults.
 var laterFaults = []faultKind{faultLateErrors, faultCrossing}
 
-// laterFaultShare is the number of faults of laterFaults for each fault of allFaults.
+// crowdFaults are drawn like laterFaults, from a third generator.
+var crowdFaults = []faultKind{faultPartial, faultFast}
+
+// laterFaultShare is the number of faults of laterFaults, and of crowdFaults, for each fault of allFaults.
 const laterFaultShare = 0.25
 
-// parseFaultKinds returns the kinds with the given names, or allFaults and laterFaults for no names. The error names the first unknown kind.
+// parseFaultKinds returns the kinds with the given names, or all kinds for no names. The error names the first unknown kind.
 func parseFaultKinds(names []string) ([]faultKind, error) {
 	if len(names) == 0 {
-		return slices.Concat(allFaults, laterFaults), nil
+		return slices.Concat(allFaults, laterFaults, crowdFaults), nil
 	}
 	var kinds []faultKind
 	for _, name := range names {
-		if !slices.Contains(allFaults, faultKind(name)) && !slices.Contains(laterFaults, faultKind(name)) {
+		if !slices.Contains(slices.Concat(allFaults, laterFaults, crowdFaults), faultKind(name)) {
 			return nil, fmt.Errorf("unknown kind of fault %q", name)
 		}
 		kinds = append(kinds, faultKind(name))
@@ -121,6 +126,7 @@
 	Push     bool // discovery "automatic", which pushes lists; else "subscribe"
 	WarmKeys bool
 	Classes  []class
+	Limits   sidecarLimits
 }
 
 // DefaultFaultRate is the default number of faults per second. With this rate two or three faults overlap.
@@ -145,29 +151,31 @@
 	random := rand.New(rand.NewPCG(seed, 0))
 	drawn := plan{Seed: seed, Length: length, Push: random.IntN(2) == 0, WarmKeys: random.IntN(2) == 0}
 	drawn.Classes = newClasses(longestDeadlines[random.IntN(len(longestDeadlines))], shortWindows[random.IntN(len(shortWindows))])
-	earlier, later := splitFaultKinds(kinds)
+	limits := rand.New(rand.NewPCG(seed, 3))
+	drawn.Limits = sidecarLimits{memoryLimitsMB[limits.IntN(len(memoryLimitsMB))], socketLimits[limits.IntN(len(socketLimits))]}
+	earlier := kindsOf(kinds, allFaults)
 	count := int(faultRate * (length - firstFaultAt).Seconds())
 	laterCount := count
 	if len(earlier) > 0 {
 		drawn.Faults = drawFaults(random, length, earlier, count)
 		laterCount = int(laterFaultShare * float64(count))
 	}
-	if len(later) > 0 {
-		drawn.Faults = append(drawn.Faults, drawFaults(rand.New(rand.NewPCG(seed, 1)), length, later, laterCount)...)
+	for i, group := range [][]faultKind{laterFaults, crowdFaults} {
+		if chosen := kindsOf(kinds, group); len(chosen) > 0 {
+			drawn.Faults = append(drawn.Faults, drawFaults(rand.New(rand.NewPCG(seed, uint64(i+1))), length, chosen, laterCount)...)
+		}
 	}
 	return drawn
 }
 
-// splitFaultKinds separates laterFaults from the other kinds.
-func splitFaultKinds(kinds []faultKind) (earlier, later []faultKind) {
+// kindsOf returns the kinds that belong to a group.
+func kindsOf(kinds, group []faultKind) (chosen []faultKind) {
 	for _, kind := range kinds {
-		if slices.Contains(laterFaults, kind) {
-			later = append(later, kind)
-		} else {
-			earlier = append(earlier, kind)
+		if slices.Contains(group, kind) {
+			chosen = append(chosen, kind)
 		}
 	}
-	return earlier, later
+	return chosen
 }
 
 func drawFaults(random *rand.Rand, length time.Duration, kinds []faultKind, count int) (drawn []fault) {
--- a/internal/faultsoak/run.go
+++ b/internal/faultsoak/run.go
@@ -206,7 +206,7 @@
 	}
 	started := &sidecar{
 		number: number, address: s.block.Addr(baseSubnet, hostsPerSidecar*(number+1)+hostsPerSidecar/2, sidecarPort),
-		options: s.options, records: s.records, settings: s.settings(number), killAfter: killAfterTerm(s.plan.Classes),
+		options: s.options, records: s.records, settings: s.settings(number), killAfter: killAfterTerm(s.plan.Classes), limits: s.plan.Limits,
 	}
 	for i, port := range []int{agentPort, secondAgentPort} {
 		listener, err := s.listen(s.block.Addr(baseSubnet, hostsPerSidecar*(number+1)+hostsPerSidecar/2, port))
@@ -276,6 +276,9 @@
 	defer stopMeasuring()
 	s.lateness = newLatenessMeter()
 	s.work.Go(func() { s.lateness.run(measuring) })
+	for _, target := range s.sidecars {
+		s.work.Go(func() { target.watchMemory(measuring.Done()) })
+	}
 	var playing sync.WaitGroup
 	for _, sidecarClients := range s.clients {
 		playing.Go(func() { sidecarClients.run(load) })
--- a/internal/faultsoak/sidecar.go
+++ b/internal/faultsoak/sidecar.go
@@ -33,6 +33,7 @@
 	agents   [2]*agentAddress // a reload switches from one to the other
 
 	killAfter time.Duration // time from SIGTERM to SIGKILL
+	limits    sidecarLimits
 
 	lifecycle sync.Mutex // held during a restart, a reload or the final stop
 
@@ -86,7 +87,7 @@
 	s.mu.Unlock()
 	data, err := json.Marshal(map[string]any{
 		"name": fmt.Sprintf("n%d", s.number), "listen": s.address, "discovery": current.address,
-		"seed": fmt.Sprintf("%016x", 1+s.number), "limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 400},
+		"seed": fmt.Sprintf("%016x", 1+s.number), "limits": map[string]any{"cores": 1, "memory_mb": s.limits.memoryMB, "sockets": s.limits.sockets},
 		"known": current.agent.snapshot(), "settings": s.settings,
 	})
 	if err != nil {
