--- a/cmd/sidecar/closed_connection_test.go
+++ b/cmd/sidecar/closed_connection_test.go
@@ -30,7 +30,12 @@
 // A client writes many requests on a connection and closes it. None is sent to a server later than 0.1 s after the close, and none
 // is executed again when its ID comes again on another connection.
 func TestRequestsBehindClosedConnectionAreSent(t *testing.T) {
-	closeFully := func(conn *net.TCPConn) { conn.Close() }
+	closeFully := func(conn *net.TCPConn) { _ = conn.Close() } // the test looks at what the sidecar does next
+	reset := func(conn *net.TCPConn) {
+		_ = conn.SetLinger(0) // fails only on a closed connection
+		closeFully(conn)
+	}
+	closeSending := func(conn *net.TCPConn) { _ = conn.CloseWrite() } // fails only if the sidecar has closed the connection
 	for name, test := range map[string]struct {
 		bodyBytes int
 		end       func(conn *net.TCPConn)
@@ -39,10 +44,10 @@
 		"closed":              {20, closeFully, false},
 		"closed, large":       {3000, closeFully, false},
 		"closed, suspended":   {20, closeFully, true},
-		"reset":               {20, func(conn *net.TCPConn) { _ = conn.SetLinger(0); conn.Close() }, false},
-		"reset, suspended":    {20, func(conn *net.TCPConn) { _ = conn.SetLinger(0); conn.Close() }, true},
-		"half closed":         {20, func(conn *net.TCPConn) { _ = conn.CloseWrite() }, false},
-		"half closed, larger": {3000, func(conn *net.TCPConn) { _ = conn.CloseWrite() }, false},
+		"reset":               {20, reset, false},
+		"reset, suspended":    {20, reset, true},
+		"half closed":         {20, closeSending, false},
+		"half closed, larger": {3000, closeSending, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t, programOptions{memoryMB: leastMemoryMB, sockets: mostSockets, cores: 0.5, servers: 2})
--- a/cmd/sidecar/crowd_rig_test.go
+++ b/cmd/sidecar/crowd_rig_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -168,11 +169,12 @@
 		t.Fatal(err)
 	}
 	dir := t.TempDir()
-	config := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"1",
+	listen := cmp.Or(r.address, "127.0.0.1:0")
+	config := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1",
 		"limits":{"cores":%g,"memory_mb":%d,"sockets":%d},"known":%s,
 		"settings":{"classes":%s,"discovery":"subscribe","quantum_ms":2,"family_info":{"warm_keys":true},
 		"limits":{"max_attempts":3},"rules":{"cold_from":0.12,"cold_ms":15000,"drain_grace_ms":750,"fall_ms":2000,"fall_multiple":4}}}`,
-		r.discovery.Listener.Addr(), options.cores, options.memoryMB, options.sockets, known, rigClasses)
+		listen, r.discovery.Listener.Addr(), options.cores, options.memoryMB, options.sockets, known, rigClasses)
 	configPath := filepath.Join(dir, "config.json")
 	if err := os.WriteFile(configPath, []byte(config), 0o600); err != nil {
 		t.Fatal(err)
@@ -187,6 +189,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(r.end)
+	r.address = ""
 	for deadline := time.Now().Add(rigReadyTimeout); r.address == ""; time.Sleep(5 * time.Millisecond) {
 		if _, after, found := strings.Cut(r.logText(), "listen="); found && strings.Contains(after, "\n") {
 			r.address, _, _ = strings.Cut(after, "\n")
@@ -197,8 +200,18 @@
 	}
 }
 
+// restart kills the process and starts another one with the same limits at its address.
+func (r *rig) restart(options programOptions) {
+	r.t.Helper()
+	r.end()
+	r.startProgram(options)
+}
+
 // end kills the process and prints its log if the test has failed. The process must not have ended before.
 func (r *rig) end() {
+	if r.command.ProcessState != nil {
+		return // a later process of the rig has taken its place
+	}
 	_ = r.command.Process.Signal(syscall.SIGCONT) // a quota may have stopped it; fails only if it has exited
 	if err := r.command.Process.Kill(); err != nil {
 		r.t.Errorf("the sidecar has ended by itself: %v", err)
--- a/cmd/sidecar/crowd_test.go
+++ b/cmd/sidecar/crowd_test.go
@@ -46,3 +46,24 @@
 		}
 	}
 }
+
+// A sidecar is killed and started again, twice, while hundreds of clients wait for it: all of them connect in its first moment.
+func TestRestartBesideClientCrowdExceedsMemory(t *testing.T) {
+	options := programOptions{memoryMB: leastMemoryMB, sockets: mostSockets, cores: 0.5, servers: rigServers}
+	for name, text := range crowds {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, options)
+			address := r.address // that of the crowd, which reads it while the rig starts another process
+			end := (&rig{address: address}).crowd(600, text)
+			for range 2 {
+				r.restart(options)
+				time.Sleep(time.Second)
+				if peak := r.peakMemoryMB(); peak > leastMemoryMB {
+					t.Errorf("peak memory %.0f MB, the limit is %d", peak, leastMemoryMB)
+				}
+			}
+			result := r.playBeside(time.Second, func() func() { return end })
+			r.check(result, leastMemoryMB)
+		})
+	}
+}
--- a/internal/sidecar/client_read.go
+++ b/internal/sidecar/client_read.go
@@ -182,24 +182,21 @@
 // readNonblocking reads once. The error is io.EOF if the client has closed its side, and syscall.EAGAIN if no bytes are
 // available.
 func readNonblocking(fd int, p []byte) (int, error) {
-	for {
-		n, err := syscall.Read(fd, p)
-		switch {
-		case err == syscall.EINTR:
-		case err != nil:
-			return 0, err
-		case n == 0:
-			return 0, io.EOF
-		default:
-			return n, nil
-		}
-	}
+	return retryInterrupted(func() (int, error) { return syscall.Read(fd, p) })
 }
 
 // peekNonblocking is readNonblocking, but leaves the bytes in the socket.
 func peekNonblocking(fd int, p []byte) (int, error) {
-	for {
+	return retryInterrupted(func() (int, error) {
 		n, _, err := syscall.Recvfrom(fd, p, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return n, err
+	})
+}
+
+// retryInterrupted reads again after EINTR, and returns io.EOF for the end of the input.
+func retryInterrupted(read func() (int, error)) (int, error) {
+	for {
+		n, err := read()
 		switch {
 		case errors.Is(err, syscall.EINTR):
 		case err != nil:
--- a/internal/sidecar/processor_budget.go
+++ b/internal/sidecar/processor_budget.go
@@ -99,11 +99,10 @@
 	count int
 }
 
-// add counts an event and returns the number of events in the present window.
-func (c *rateCounter) add(now time.Time) int {
+// add counts an event, in a new window if the present one is over.
+func (c *rateCounter) add(now time.Time) {
 	if now.Sub(c.began) >= rateWindow {
 		c.began, c.count = now, 0
 	}
 	c.count++
-	return c.count
 }
