faultsoak: the shim's filter knows arm64, too

What was seen: on arm64 TestClockSteps and TestCallsFailWhileRuleApplies failed, and the soak injected no failure of a system call (0 in 30 runs).

Cause: the filter let every call run whose architecture is not x86-64. Change: the architecture is that of the build. Evidence: both tests pass on arm64; the package builds for amd64 as before (go vet with GOARCH=amd64; not run there).

--- a/internal/faultsoak/shim/seccomp.go
+++ b/internal/faultsoak/shim/seccomp.go
@@ -77,7 +77,7 @@
 	}
 	filter := []unix.SockFilter{
 		load(offsetArch),
-		{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, K: unix.AUDIT_ARCH_X86_64, Jt: 1},
+		{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, K: auditArch, Jt: 1},
 		verdict(unix.SECCOMP_RET_ALLOW),
 		load(offsetNumber),
 	}
