sidecar: requests that a client has sent at once are served at the end of a drain

Cause: in the last phase one request is read at a time, and the response closed the connection as no further bytes had been read, though they stood in the socket.

Change: the response closes the connection only if nothing waits in the socket, or after 32 requests in this phase, so that a client that never stops sending is ended.

TestLateDrainAnswersBeforeClosing failed once under the race detector: status 0 in place of 504. By the code: between setWriting and the first byte nothing owed the client a response once the limit for slow readers had passed, and the drain looks every 5 ms. A write that has just begun is waited for now, for 5 ms; -race -count=15 passes.

--- a/internal/sidecar/client_conn.go
+++ b/internal/sidecar/client_conn.go
@@ -48,17 +48,19 @@
 	head           headScanner
 	bodyRemaining  int       // unread bytes of the active request's body
 	partialBytes   int       // memory that is reserved for the request that is being read
+	finalRequests  int       // requests that were answered in the last phase of a drain
 	shed           bool      // the partial request is ended, as its memory or place is needed
 	arrivedAt      time.Time // when the bytes that were read last arrived
 	readErr        error     // set when reading has failed, such as when the client has closed its side: nothing more is read
 	disconnectedAt time.Time // when readErr was set
 	unanswered     bool      // a request is read completely and its response is not written
 	writing        bool      // the response is being written
-	writeErr       error     // of the latest response
-	closeChecked   bool      // recordClose has checked that no request is left unanswered
-	handled        bool      // the request that was read last has reached the frontend
-	malformed      bool      // a malformed request was read: the bytes that follow may be a part of it
-	readClosed     bool      // set when this side closes: nothing more is read
+	writingSince   time.Time
+	writeErr       error // of the latest response
+	closeChecked   bool  // recordClose has checked that no request is left unanswered
+	handled        bool  // the request that was read last has reached the frontend
+	malformed      bool  // a malformed request was read: the bytes that follow may be a part of it
+	readClosed     bool  // set when this side closes: nothing more is read
 
 	requests rateCounter // only the goroutine that reads uses it
 }
@@ -138,7 +140,7 @@
 	}
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	c.unanswered, c.writing = false, true
+	c.unanswered, c.writing, c.writingSince = false, true, time.Now()
 }
 
 // setAnswered records that the response is written, or the write error: the client has disconnected or does not read.
@@ -227,12 +229,16 @@
 	c.bodyRemaining = size
 }
 
+// writeStartTime is how long a write may take if the client reads: without it, a close could come between the end of a request and
+// the first byte of its response.
+const writeStartTime = capacityPollInterval
+
 // owesResponse reports whether closing the connection now could lose a request or its response. A complete request is always
 // waited for, as it is answered at the drain deadline at the latest. What depends on the client is waited for until limit: that
 // the rest of a request that has just begun arrives, and that a response is written and delivered. The caller holds the lock of
 // the listener.
 func (c *clientConn) owesResponse(now, limit time.Time) bool {
-	if c.unanswered {
+	if c.unanswered || c.writing && now.Sub(c.writingSince) < writeStartTime {
 		return true
 	}
 	if !now.Before(limit) {
@@ -261,12 +267,27 @@
 	return c.arrivedAt
 }
 
-// readAheadPending reports whether bytes behind the active request were read ahead.
-func (c *clientConn) readAheadPending() bool {
+// maxFinalRequests is how many requests of a connection are served in the last phase of a drain, if they wait in its socket: more
+// than a client sends at once, but a client that never stops sending is ended.
+const maxFinalRequests = 32
+
+// moreRequested reports, in the last phase of a drain, whether bytes behind the active request were read ahead, or wait in the
+// socket and may still be served.
+func (c *clientConn) moreRequested() bool {
 	if c == nil {
 		return false
 	}
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	return c.readAhead.size > 0
+	return c.readAhead.size > 0 || c.finalRequests < maxFinalRequests && peekRead(c.rawConn) == nil
+}
+
+// countFinalRequest counts a request that is served in the last phase of a drain.
+func (c *clientConn) countFinalRequest() {
+	if c == nil {
+		return
+	}
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.finalRequests++
 }
--- a/internal/sidecar/client_read.go
+++ b/internal/sidecar/client_read.go
@@ -89,7 +89,8 @@
 // The caller holds the lock of the listener.
 func (c *clientConn) readSocket(fd int, p []byte) (n int, wouldBlock bool, err error) {
 	readBytes := readNonblocking
-	if c.listener.readAheadEnded {
+	singleRequest := c.listener.readAheadEnded
+	if singleRequest {
 		readBytes = peekNonblocking
 	}
 	size, err := readBytes(fd, c.listener.readBuffer[:])
@@ -109,7 +110,7 @@
 	if err != nil {
 		return 0, false, err
 	}
-	if c.listener.readAheadEnded {
+	if singleRequest {
 		_, err = readNonblocking(fd, c.listener.readBuffer[:n])
 		return n, false, err
 	}
--- a/internal/sidecar/frontend.go
+++ b/internal/sidecar/frontend.go
@@ -98,6 +98,9 @@
 // ServeHTTP serves the ready check and the requests of the application.
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	clientConnOf(r).setHandled()
+	if f.closeAfterResponse.Load() {
+		clientConnOf(r).countFinalRequest()
+	}
 	defer clientConnOf(r).releasePartial()
 	f.announceClose(w, r)
 	f.extendWriteDeadline(w)
@@ -163,10 +166,10 @@
 	writeResponse(w, r, response{status: statusRejected})
 }
 
-// announceClose makes this response close the connection, in the last phase of a drain. If more requests were read from the
-// connection, it stays open until they are answered.
+// announceClose makes this response close the connection, in the last phase of a drain. If the client has sent more requests on
+// the connection, it stays open until they are answered.
 func (f *frontend) announceClose(w http.ResponseWriter, r *http.Request) {
-	if f.closeAfterResponse.Load() && !clientConnOf(r).readAheadPending() {
+	if f.closeAfterResponse.Load() && !clientConnOf(r).moreRequested() {
 		w.Header().Set("Connection", "close")
 	}
 }
