--- a/review/standins-2/agent_restart.go
+++ b/review/standins-2/agent_restart.go
@@ -20,13 +20,17 @@
 )
 
 // startAgent starts the agent. Its saved list is in a folder that is new at each start.
-func (r *run) startAgent(ctx context.Context, number int, listen, registry string) (*process, error) {
+func (r *run) startAgent(ctx context.Context, number int, listen string, replicas ...string) (*process, error) {
 	folder := filepath.Join(r.scratch, fmt.Sprintf("agent-%d", number))
 	if err := os.Mkdir(folder, 0o700); err != nil {
 		return nil, err
 	}
 	path := filepath.Join(folder, "agent.toml")
-	text := fmt.Sprintf("listen = %q\nreplicas = [\"%s\"]\nsaved = %q\nfleet = 3\n", listen, registry, filepath.Join(folder, "saved"))
+	quoted, err := json.Marshal(replicas) // a list of strings is the same in TOML
+	if err != nil {
+		return nil, err
+	}
+	text := fmt.Sprintf("listen = %q\nreplicas = %s\nsaved = %q\nfleet = 3\n", listen, quoted, filepath.Join(folder, "saved"))
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
--- a/review/standins-2/partition.go
+++ b/review/standins-2/partition.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -148,7 +147,7 @@
 // startAgentAtFollower starts the agent again and again until it watches a replica that does not lead.
 func (r *run) startAgentAtFollower(ctx context.Context, registry *cluster, listen string) (follower int, err error) {
 	for n := 1; n <= 20; n++ {
-		agent, err := r.startAgent(ctx, n, listen, strings.Join(registry.addresses, `", "`))
+		agent, err := r.startAgent(ctx, n, listen, registry.addresses...)
 		if err != nil {
 			return 0, err
 		}
