--- a/review/standins-2/servers.go
+++ b/review/standins-2/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -9,7 +10,7 @@
 	"time"
 )
 
-// workTime is how long a server works on a request.
+// workTime is how long a server works on a request, unless a case sets another time.
 const workTime = 4 * time.Millisecond
 
 // endpoint is a server in an endpoint list.
@@ -42,6 +43,7 @@
 	endpoint
 	log  *record
 	http *http.Server
+	work time.Duration // on a request
 
 	mu       sync.Mutex
 	attempts []attempt
@@ -55,7 +57,7 @@
 		if err != nil {
 			return nil, err
 		}
-		started := &server{log: log, endpoint: endpoint{
+		started := &server{log: log, work: workTime, endpoint: endpoint{
 			UID: fmt.Sprintf("s%d", i+1), Address: listener.Addr().String(), Zone: zone, Model: model, PodGroup: i / 2, State: "Ready", Capacity: 1,
 		}}
 		started.http = &http.Server{Handler: started, ReadHeaderTimeout: 10 * time.Second}
@@ -80,11 +82,15 @@
 		return
 	}
 	now := time.Now()
-	s.log.detailf("%s got %s", s.UID, id)
 	s.mu.Lock()
 	s.attempts = append(s.attempts, attempt{id, now})
 	s.mu.Unlock()
-	time.Sleep(workTime)
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		s.log.detailf("%s: the body of %s: %v", s.UID, id, err)
+		return // the request's last byte has not come, so it does not begin
+	}
+	s.log.detailf("%s begins %s", s.UID, id)
+	time.Sleep(s.work)
 	fmt.Fprintf(w, "%s by %s", id, s.UID)
 }
 
