--- a/review/standins-2/processes.go
+++ b/review/standins-2/processes.go
@@ -113,6 +113,11 @@
 	Settings  json.RawMessage `json:"settings"`
 }
 
+// limits returns the limits of a sidecar with one core.
+func limits(memoryMB, sockets int) map[string]any {
+	return map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": sockets}
+}
+
 // startSidecar starts a sidecar as the deploy file says, and waits until it is ready.
 func (r *run) startSidecar(ctx context.Context, config sidecarConfig) error {
 	deploy, err := os.ReadFile("deploy/balancer.toml")
@@ -123,7 +128,9 @@
 	if command == nil {
 		return fmt.Errorf("deploy/balancer.toml has no run")
 	}
-	config.Limits = map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024}
+	if config.Limits == nil {
+		config.Limits = limits(192, 1024)
+	}
 	data, err := json.Marshal(config)
 	if err != nil {
 		return err
