--- a/review/standins-2/pipeline.go
+++ b/review/standins-2/pipeline.go
@@ -22,9 +22,9 @@
 
 const (
 	pipelineClients  = 4
-	pipelineRequests = 8
+	pipelineRequests = 7
 	pipelineBody     = 60 << 10 // bytes; a body holds at most 64 KiB
-	pipelineWork     = 200 * time.Millisecond
+	pipelineWork     = 600 * time.Millisecond
 	pipelineTimeout  = 5 * time.Second
 	answerSlack      = 500 * time.Millisecond
 )
