sidecar: logs and counters tell a call given up from a watch that fell silent

Where lists are polled, the line "endpoint watch reopened" stood for two things: a call that was given up before anything arrived, and a watch that was answered and then fell silent. It said neither how long the call had been open nor which one in a row it was, so a discovery that answers late could not be told from one that was cut off. The counter watch_failed existed and was never counted.

The line has open_ms, answered and unanswered_calls; the counters are discovery_call_opened, discovery_call_unanswered, watch_silent and watch_failed, which counts now.

--- a/internal/sidecar/discovery_client.go
+++ b/internal/sidecar/discovery_client.go
@@ -68,6 +68,7 @@
 	revision atomic.Int64 // of the endpoint list in force; 0: no list from this address yet
 	post     func(loopEvent)
 	spawn    func(task func())
+	monitor  *monitor
 
 	callTimeout, queuedCallTimeout, agentTimeout, heartbeatTimeout time.Duration
 }
@@ -127,7 +128,7 @@
 		err := call.watchUntilFailure()
 		close(watchDone)
 		if ctx.Err() == nil {
-			discoveryLog.Warn("endpoint watch failed", "error", err, "revision", call.revision.Load())
+			call.logEnd("endpoint watch failed", err)
 			call.reportFailure(err)
 		}
 	})
@@ -139,7 +140,7 @@
 	d.spawn(func() {
 		err := call.readLists(call.baseURL, d.callTimeout, d.callTimeout)
 		if !errors.Is(err, errStreamEnded) && ctx.Err() == nil {
-			discoveryLog.Warn("endpoint list request failed", "error", err)
+			call.logEnd("endpoint list request failed", err)
 			call.reportFailure(err)
 		}
 	})
@@ -158,7 +159,7 @@
 				backoff = initialBackoff
 			}
 			if ctx.Err() == nil {
-				discoveryLog.Warn("endpoint watch at the agent failed", "error", err, "revision", call.revision.Load())
+				call.logEnd("endpoint watch at the agent failed", err)
 			}
 			sleepJittered(ctx, backoff)
 			backoff = min(2*backoff, maxBackoff)
@@ -185,8 +186,9 @@
 	generation int
 
 	// State of the latest call.
-	startedAt time.Time
-	received  bool // a list or a heartbeat has arrived
+	startedAt  time.Time
+	received   bool // a list or a heartbeat has arrived
+	unanswered int  // calls in a row that ended before a list or a heartbeat arrived, this one included
 }
 
 func (d *discoveryClient) newCall(ctx context.Context) *discoveryCall {
@@ -197,7 +199,7 @@
 func (c *discoveryCall) watchUntilFailure() error {
 	err := c.openWatch(c.callTimeout)
 	for unansweredCalls := 0; errors.Is(err, errDiscoveryTimeout) && c.ctx.Err() == nil; {
-		discoveryLog.Warn("endpoint watch reopened", "error", err, "revision", c.revision.Load())
+		c.logEnd("endpoint watch reopened", err)
 		sleepJittered(c.ctx, initialBackoff)
 		if unansweredCalls++; c.received {
 			unansweredCalls = 0
@@ -211,6 +213,26 @@
 	return err
 }
 
+// logEnd counts and logs the end of the latest call: how long it was open, whether it was answered, and the number of calls
+// in a row that were not.
+func (c *discoveryCall) logEnd(message string, err error) {
+	if c.received {
+		c.unanswered = 0
+	} else {
+		c.unanswered++
+	}
+	switch {
+	case !errors.Is(err, errDiscoveryTimeout):
+		c.monitor.count(watchFailed)
+	case c.received:
+		c.monitor.count(watchSilent)
+	default:
+		c.monitor.count(discoveryCallUnanswered)
+	}
+	discoveryLog.Warn(message, "error", err, "revision", c.revision.Load(), "open_ms", time.Since(c.startedAt).Milliseconds(),
+		"answered", c.received, "unanswered_calls", c.unanswered)
+}
+
 // reportFailure reports the end of a call or watch. Only a call that is rejected after minQueuedTime counts as queued: an
 // unreachable service refuses connections immediately, or breaks them at any time.
 func (c *discoveryCall) reportFailure(err error) {
@@ -233,6 +255,7 @@
 func (c *discoveryCall) readLists(url string, firstTimeout, nextTimeout time.Duration) error {
 	c.startedAt = time.Now()
 	c.received = false
+	c.monitor.count(discoveryCallOpened)
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
 	timeoutTimer := time.AfterFunc(firstTimeout, func() { cancel(errDiscoveryTimeout) })
--- a/internal/sidecar/monitor.go
+++ b/internal/sidecar/monitor.go
@@ -43,6 +43,9 @@
 	acceptFailed                                //
 	watchFailed                                 // of discovery
 	reloadFailed                                //
+	discoveryCallOpened                         // a watch, or a request of the complete list
+	discoveryCallUnanswered                     // given up before a list or a heartbeat arrived
+	watchSilent                                 // an answered watch of discovery that sent no more lists and heartbeats
 	countedEventCount
 )
 
@@ -55,6 +58,7 @@
 	"upstream_conn_reused", "upstream_conn_unusable", "upstream_conn_too_idle", "upstream_conn_surplus", "upstream_conn_expired",
 	"upstream_conn_evicted", "upstream_conn_withdrawn", "upstream_conn_ended",
 	"accept_failed", "watch_failed", "reload_failed",
+	"discovery_call_opened", "discovery_call_unanswered", "watch_silent",
 }
 
 // String returns the name of the event in logs.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -78,6 +78,7 @@
 	}
 	loop := newEventLoop(config, balancer, newConnPool(config, upstreamSockets, responseMemory))
 	loop.discovery = newDiscoveryClient(config.DiscoveryAddress, loop.post, func(task func()) { loop.workers.Go(task) })
+	loop.discovery.monitor = loop.pool.guard.monitor
 	loop.peers = listenPeers(config.peers)
 	clients := newClientListener(listener, clientSockets, int(persistentConnFraction*float64(config.Sockets)))
 	clients.memory = newByteBudget(memory.readAheadOfClients)
