sidecar: a call that waits in discovery's queue keeps its turn

Cause: watchUntilFailure gave up an unanswered call after 2.5 s, from the third on after 5 s, and each new call went to the end of the queue. A watch that was answered and fell silent began that count anew.

Fix: parallelCalls opens the next call beside those that are not answered; the first with data becomes the watch and alone posts lists. It works for a queue, as no turn is lost, and for a partition, as new calls are opened. The interval, 2.6 s, was chosen as the calls of a crowd are no more than before; fleets over 30 sidecars open one each 5.1 s from the third on, as before.

TestQueuedCallsAreReported: two cases had the rejection of a waiting call unseen, as the call was given up before; it is now what is reported, so they expect queued in place of not queued, with the same number of calls. The timeout that TestUnansweredCallFails shortens has another name.

--- a/balance/discovery.go
+++ b/balance/discovery.go
@@ -13,8 +13,33 @@
 	// leaves time for one unanswered and one answered poll. The bound does not apply if polls wait in a
 	// queue: many polls at such short intervals would not be answered.
 	maxUnqueuedPollBackoff = 3000
+
+	// pollRepeatInterval is the time, in ms, after which another poll is sent beside those that are not
+	// answered. It leaves time for two unanswered polls, or for a backoff and one, within the 6 s.
+	pollRepeatInterval = 2600
+	// queuedPollRepeatInterval applies in a large fleet from firstQueuedPoll on, the number of a poll in a
+	// row: the polls probably wait in a queue, where each further one may take a turn.
+	queuedPollRepeatInterval = 5100
+	firstQueuedPoll          = 3
 )
 
+// PollRepeatInterval returns the time, in ms, between two polls of discovery that are not answered.
+// unanswered is the number of such polls in a row.
+func (c *Config) PollRepeatInterval(unanswered int) float64 {
+	if unanswered >= firstQueuedPoll && !c.fewSidecars() {
+		return queuedPollRepeatInterval
+	}
+	return pollRepeatInterval
+}
+
+// fleetPollBackoff returns the initial backoff of polls in ms.
+func (c *Config) fleetPollBackoff() float64 {
+	return pollBackoffPerSidecar * float64(max(c.SidecarCount, 1))
+}
+
+// fewSidecars reports whether discovery answers the polls of all sidecars in time.
+func (c *Config) fewSidecars() bool { return 2*c.fleetPollBackoff() <= maxUnqueuedPollBackoff }
+
 func (b *Balancer) onEndpointUpdate(ev EndpointUpdate) {
 	switch ev.Kind {
 	case UpdateFailed:
@@ -66,10 +91,8 @@
 // discovery, wait in the queue of discovery until most polls have timed out. unqueued states that no polls
 // wait at discovery.
 func (b *Balancer) schedulePoll(minFraction, maxBackoff float64, unqueued bool) {
-	fleetBackoff := pollBackoffPerSidecar * float64(max(b.config.SidecarCount, 1))
-	backoff := fleetBackoff * float64(int(1)<<min(b.discovery.failedPolls, maxPollDoublings))
-	fewSidecars := 2*fleetBackoff <= maxUnqueuedPollBackoff // discovery answers all their polls in time
-	if backoff > maxUnqueuedPollBackoff && (unqueued || fewSidecars) {
+	backoff := b.config.fleetPollBackoff() * float64(int(1)<<min(b.discovery.failedPolls, maxPollDoublings))
+	if backoff > maxUnqueuedPollBackoff && (unqueued || b.config.fewSidecars()) {
 		backoff, minFraction = maxUnqueuedPollBackoff, 0
 	}
 	if maxBackoff > 0 {
--- a/internal/sidecar/discovery_client.go
+++ b/internal/sidecar/discovery_client.go
@@ -17,7 +17,8 @@
 )
 
 // The platform's protocol counts a change of the endpoint list as known to the sidecar 6 s after the sidecar can reach
-// discovery. With these timeouts the sidecar stays below 6 s even if two calls in a row are not answered.
+// discovery. With these timeouts and Config.PollRepeatInterval the sidecar stays below 6 s even if two calls in a row are not
+// answered.
 const (
 	// watchHeartbeatTimeout ends a watch that sends no data. Discovery sends an empty line every 2 s; the timeout is a quarter
 	// longer. It applies although the connection is open, as a partitioned machine does not close its connections. A
@@ -27,12 +28,12 @@
 	// agentTimeout applies where lists are pushed (maintainWatch): the agent on this machine responds immediately unless
 	// discovery is down.
 	agentTimeout = 1200 * time.Millisecond
-	// callTimeout applies where lists are polled (watch, fetchList): a call may wait in discovery's queue, and the sidecar
-	// cannot distinguish that from a partition.
-	callTimeout = 2500 * time.Millisecond
-	// queuedCallTimeout applies from the third unanswered call in a row, as a call that is repeated goes to the end of the
-	// queue.
-	queuedCallTimeout = 5 * time.Second
+	// callTimeout ends a polled watch that is not answered (parallelCalls). A call may wait in discovery's queue, and one that
+	// is given up goes to its end. The timeout is the longest wait with which the list of a crowded discovery still arrives.
+	callTimeout = time.Minute
+	// listTimeout ends a request of the complete list that is not answered (fetchList), and a polled watch whose first list has
+	// begun and does not end: it no longer waits in the queue.
+	listTimeout = 6 * time.Second
 	// minQueuedTime is the time after which a rejected call counts as a call that has waited in discovery's queue.
 	minQueuedTime = time.Second
 	dialTimeout   = time.Second
@@ -46,6 +47,7 @@
 
 var (
 	errDiscoveryTimeout = errors.New("no data from discovery within the timeout")
+	errDialTimeout      = errors.New("no connection to discovery within the timeout")
 	errStreamEnded      = errors.New("endpoint stream ended")
 )
 
@@ -70,18 +72,22 @@
 	spawn    func(task func())
 	monitor  *monitor
 
-	callTimeout, queuedCallTimeout, agentTimeout, heartbeatTimeout time.Duration
+	callTimeout, listTimeout, agentTimeout, heartbeatTimeout time.Duration
+
+	// callInterval returns the time between two polled calls that are not answered, by the number of such calls in a row.
+	callInterval func(unanswered int) time.Duration
 }
 
-func newDiscoveryClient(address string, post func(loopEvent), spawn func(func())) *discoveryClient {
+func newDiscoveryClient(address string, settings *balance.Config, post func(loopEvent), spawn func(func())) *discoveryClient {
 	d := &discoveryClient{
-		post:              post,
-		spawn:             spawn,
-		cancel:            func() {},
-		callTimeout:       callTimeout,
-		queuedCallTimeout: queuedCallTimeout,
-		agentTimeout:      agentTimeout,
-		heartbeatTimeout:  watchHeartbeatTimeout,
+		post:             post,
+		spawn:            spawn,
+		cancel:           func() {},
+		callTimeout:      callTimeout,
+		listTimeout:      listTimeout,
+		agentTimeout:     agentTimeout,
+		heartbeatTimeout: watchHeartbeatTimeout,
+		callInterval:     func(unanswered int) time.Duration { return durationFromMS(settings.PollRepeatInterval(unanswered)) },
 		// Connections are not reused, as the transport retries by itself if a reused connection breaks.
 		client: &http.Client{Transport: &http.Transport{
 			DisableKeepAlives:      true,
@@ -110,7 +116,7 @@
 }
 
 // watch opens a watch of the endpoint list at the balancer's request. It does nothing if a watch is open: after an address
-// change, the balancer may still request a watch because the previous one has ended. A watch that times out is reopened
+// change, the balancer may still request a watch because the previous one has ended. A watch that falls silent is reopened
 // without the balancer and its backoff for failed calls, because the platform's protocol soon counts the missed changes
 // as known.
 func (d *discoveryClient) watch(ctx context.Context) {
@@ -125,11 +131,11 @@
 	call := d.newCall(ctx)
 	d.watchDone = watchDone
 	d.spawn(func() {
-		err := call.watchUntilFailure()
+		failed, queued := call.watchUntilFailure()
 		close(watchDone)
 		if ctx.Err() == nil {
-			call.logEnd("endpoint watch failed", err)
-			call.reportFailure(err)
+			failed.logEnd("endpoint watch failed")
+			failed.reportFailure(queued)
 		}
 	})
 }
@@ -138,10 +144,10 @@
 func (d *discoveryClient) fetchList(ctx context.Context) {
 	call := d.newCall(ctx)
 	d.spawn(func() {
-		err := call.readLists(call.baseURL, d.callTimeout, d.callTimeout)
-		if !errors.Is(err, errStreamEnded) && ctx.Err() == nil {
-			call.logEnd("endpoint list request failed", err)
-			call.reportFailure(err)
+		call.err = call.readLists(call.baseURL, d.listTimeout, d.listTimeout)
+		if !errors.Is(call.err, errStreamEnded) && ctx.Err() == nil {
+			call.logEnd("endpoint list request failed")
+			call.reportFailure(call.rejectedFromQueue())
 		}
 	})
 }
@@ -154,12 +160,13 @@
 	d.spawn(func() {
 		backoff := initialBackoff
 		for ctx.Err() == nil {
-			err := call.openWatch(d.agentTimeout)
+			call.err = call.openWatch(d.agentTimeout)
 			if time.Since(call.startedAt) > maxBackoff {
 				backoff = initialBackoff
 			}
 			if ctx.Err() == nil {
-				call.logEnd("endpoint watch at the agent failed", err)
+				call.countUnanswered()
+				call.logEnd("endpoint watch at the agent failed")
 			}
 			sleepJittered(ctx, backoff)
 			backoff = min(2*backoff, maxBackoff)
@@ -172,10 +179,13 @@
 func sleepJittered(ctx context.Context, maxDelay time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(maxDelay/2 + rand.N(maxDelay)/2):
+	case <-time.After(jitter(maxDelay)):
 	}
 }
 
+// jitter returns a random time between half of maxDelay and maxDelay.
+func jitter(maxDelay time.Duration) time.Duration { return maxDelay/2 + rand.N(maxDelay)/2 }
+
 // discoveryCall makes one call to discovery, or a series of calls, on its own goroutine.
 type discoveryCall struct {
 	*discoveryClient
@@ -185,59 +195,65 @@
 	baseURL    string
 	generation int
 
+	// claim reports whether this call may post lists; nil: it may. It is called when the first list or heartbeat arrives.
+	claim func() bool
+
 	// State of the latest call.
 	startedAt  time.Time
-	received   bool // a list or a heartbeat has arrived
-	unanswered int  // calls in a row that ended before a list or a heartbeat arrived, this one included
+	received   bool  // a list or a heartbeat has arrived
+	unanswered int   // number of calls in a row before any was answered, this one included
+	err        error // the reason for its end
 }
 
 func (d *discoveryClient) newCall(ctx context.Context) *discoveryCall {
 	return &discoveryCall{discoveryClient: d, ctx: ctx, baseURL: d.baseURL, generation: d.generation}
 }
 
-// watchUntilFailure opens a watch and reopens it after each timeout. It returns any other error.
-func (c *discoveryCall) watchUntilFailure() error {
-	err := c.openWatch(c.callTimeout)
-	for unansweredCalls := 0; errors.Is(err, errDiscoveryTimeout) && c.ctx.Err() == nil; {
-		c.logEnd("endpoint watch reopened", err)
-		sleepJittered(c.ctx, initialBackoff)
-		if unansweredCalls++; c.received {
-			unansweredCalls = 0
-		}
-		timeout := c.callTimeout
-		if unansweredCalls > 1 {
-			timeout = c.queuedCallTimeout
+// watchUntilFailure opens a watch and reopens it each time it falls silent. It returns the call that failed for another
+// reason, and whether a call was rejected after it had waited in discovery's queue.
+func (c *discoveryCall) watchUntilFailure() (failed *discoveryCall, queued bool) {
+	for {
+		calls := newParallelCalls(c)
+		ended := calls.run()
+		if !errors.Is(ended.err, errDiscoveryTimeout) || c.ctx.Err() != nil {
+			return ended, calls.queued
 		}
-		err = c.openWatch(timeout)
+		ended.logEnd("endpoint watch reopened")
+		sleepJittered(c.ctx, initialBackoff)
 	}
-	return err
 }
 
-// logEnd counts and logs the end of the latest call: how long it was open, whether it was answered, and the number of calls
-// in a row that were not.
-func (c *discoveryCall) logEnd(message string, err error) {
-	if c.received {
+// countUnanswered counts the latest call if it was not answered.
+func (c *discoveryCall) countUnanswered() {
+	if c.unanswered++; c.received {
 		c.unanswered = 0
-	} else {
-		c.unanswered++
 	}
+}
+
+// logEnd counts and logs the end of the latest call: how long it was open, whether it was answered, and the number of calls
+// in a row before any was answered.
+func (c *discoveryCall) logEnd(message string) {
 	switch {
-	case !errors.Is(err, errDiscoveryTimeout):
+	case !errors.Is(c.err, errDiscoveryTimeout):
 		c.monitor.count(watchFailed)
 	case c.received:
 		c.monitor.count(watchSilent)
 	default:
 		c.monitor.count(discoveryCallUnanswered)
 	}
-	discoveryLog.Warn(message, "error", err, "revision", c.revision.Load(), "open_ms", time.Since(c.startedAt).Milliseconds(),
+	discoveryLog.Warn(message, "error", c.err, "revision", c.revision.Load(), "open_ms", time.Since(c.startedAt).Milliseconds(),
 		"answered", c.received, "unanswered_calls", c.unanswered)
 }
 
-// reportFailure reports the end of a call or watch. Only a call that is rejected after minQueuedTime counts as queued: an
-// unreachable service refuses connections immediately, or breaks them at any time.
-func (c *discoveryCall) reportFailure(err error) {
+// rejectedFromQueue reports whether the latest call was rejected after minQueuedTime: an unreachable service refuses
+// connections immediately, or breaks them at any time.
+func (c *discoveryCall) rejectedFromQueue() bool {
 	var rejected *unexpectedStatusError
-	queued := !c.received && errors.As(err, &rejected) && time.Since(c.startedAt) >= minQueuedTime
+	return !c.received && errors.As(c.err, &rejected) && time.Since(c.startedAt) >= minQueuedTime
+}
+
+// reportFailure reports the end of a call or watch.
+func (c *discoveryCall) reportFailure(queued bool) {
 	c.post(endpointUpdate{generation: c.generation, kind: balance.UpdateFailed, discoveryUnreachable: !queued})
 }
 
@@ -266,10 +282,25 @@
 	}
 	defer resp.Body.Close()
 	onHeartbeat := func() {
-		c.received = true
-		timeoutTimer.Reset(nextTimeout)
+		if c.acceptData() {
+			timeoutTimer.Reset(nextTimeout)
+		}
+	}
+	onListStart := func() {
+		if !c.received && c.listTimeout < firstTimeout {
+			timeoutTimer.Reset(c.listTimeout)
+		}
 	}
-	return c.decodeLists(ctx, &heartbeatReader{source: resp.Body, onHeartbeat: onHeartbeat})
+	return c.decodeLists(ctx, &heartbeatReader{source: resp.Body, onHeartbeat: onHeartbeat, onListStart: onListStart})
+}
+
+// acceptData is called for each list and heartbeat and reports whether the call may use it.
+func (c *discoveryCall) acceptData() bool {
+	if !c.received && c.claim != nil && !c.claim() {
+		return false
+	}
+	c.received = true
+	return true
 }
 
 // get returns the response to a GET request; any status other than 200 is an error.
@@ -280,7 +311,7 @@
 	}
 	resp, err := c.client.Do(req)
 	if netErr := net.Error(nil); errors.As(err, &netErr) && netErr.Timeout() {
-		err = errDiscoveryTimeout // the dialer's timeout
+		err = errDialTimeout
 	}
 	if err != nil {
 		return nil, cmp.Or(context.Cause(ctx), err)
@@ -302,6 +333,9 @@
 		if err := list.sanitize(); err != nil {
 			return err
 		}
+		if !c.acceptData() {
+			return errSuperseded
+		}
 		kind := balance.UpdateDelta
 		if list.Complete {
 			kind = balance.UpdateFull
--- a/internal/sidecar/discovery_failure_test.go
+++ b/internal/sidecar/discovery_failure_test.go
@@ -98,7 +98,7 @@
 			close(listSent)
 		})
 		loop := newEventLoop(config, balancer, newConnPool(config, 100, &byteBudget{}))
-		loop.discovery = newDiscoveryClient(config.DiscoveryAddress, loop.post, func(task func()) { loop.workers.Go(task) })
+		loop.discovery = newDiscoveryClient(config.DiscoveryAddress, &config.settings, loop.post, func(task func()) { loop.workers.Go(task) })
 		loop.discovery.client.Transport.(*http.Transport).DialContext = discovery.dial
 		ctx, cancel := context.WithCancel(t.Context())
 		discovery.workers.Go(func() { loop.run(ctx) })
@@ -165,9 +165,9 @@
 	}
 }
 
-// Only a call that is rejected after minQueuedTime is reported as queued at discovery. From the third unanswered call in a
-// row, calls have a longer timeout, as a call that is repeated goes to the end of the queue. A heartbeat resets the number
-// of unanswered calls.
+// Only a call that is rejected after minQueuedTime is reported as queued at discovery. A call that waits keeps its turn: the
+// rejection of a later call beside it does not end it, and its own rejection is what is reported. A heartbeat resets the
+// number of unanswered calls.
 func TestQueuedCallsAreReported(t *testing.T) {
 	rejectCall, queueTime := failureScripts[2].handle, 4*time.Second
 	after := func(wait time.Duration, handle func(net.Conn)) func(net.Conn) {
@@ -188,9 +188,9 @@
 		"rejected after a while":    {[]func(net.Conn){after(minQueuedTime, rejectCall)}, true, 1},
 		"closed after a while":      {[]func(net.Conn){after(minQueuedTime, closeImmediately)}, false, 1},
 		"heartbeat, then closed":    {[]func(net.Conn){closeAfterHeartbeat}, false, 1},
-		"the first queued call":     {[]func(net.Conn){after(queueTime, rejectCall), rejectCall}, false, 2},
+		"the first queued call":     {[]func(net.Conn){after(queueTime, rejectCall), rejectCall}, true, 2},
 		"the third queued call":     {[]func(net.Conn){stall, stall, after(queueTime, rejectCall)}, true, 3},
-		"silence after a heartbeat": {[]func(net.Conn){stall, stall, sendHeartbeat, after(queueTime, rejectCall), rejectCall}, false, 5},
+		"silence after a heartbeat": {[]func(net.Conn){stall, stall, sendHeartbeat, after(queueTime, rejectCall), rejectCall}, true, 5},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -198,7 +198,7 @@
 				scripted.addCalls(test.handlers...)
 				updates := make(chan endpointUpdate, 1)
 				var work sync.WaitGroup
-				client := newDiscoveryClient("127.0.0.1:1", func(event loopEvent) { updates <- event.(endpointUpdate) }, func(task func()) { work.Go(task) })
+				client := newDiscoveryClient("127.0.0.1:1", &balance.Config{SidecarCount: 80}, func(event loopEvent) { updates <- event.(endpointUpdate) }, func(task func()) { work.Go(task) })
 				client.client.Transport.(*http.Transport).DialContext = scripted.dial
 				client.watch(t.Context())
 				select {
--- a/internal/sidecar/discovery_silence_test.go
+++ b/internal/sidecar/discovery_silence_test.go
@@ -121,7 +121,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		received := make(chan struct{})
 		var work sync.WaitGroup
-		client := newDiscoveryClient("127.0.0.1:1", func(event loopEvent) {
+		client := newDiscoveryClient("127.0.0.1:1", &balance.Config{SidecarCount: 80}, func(event loopEvent) {
 			if update := event.(endpointUpdate); update.kind != balance.UpdateFailed && update.endpoints.Revision == 9 && receivedAt.IsZero() {
 				receivedAt = time.Now()
 				close(received)
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -16,7 +16,7 @@
 func newRecordingClient(t *testing.T, address string) (*discoveryClient, chan endpointUpdate) {
 	updates := make(chan endpointUpdate, 16)
 	var work sync.WaitGroup
-	client := newDiscoveryClient(address, func(event loopEvent) { updates <- event.(endpointUpdate) }, func(task func()) { work.Go(task) })
+	client := newDiscoveryClient(address, &balance.Config{SidecarCount: 80}, func(event loopEvent) { updates <- event.(endpointUpdate) }, func(task func()) { work.Go(task) })
 	t.Cleanup(func() {
 		client.cancel()
 		work.Wait()
@@ -117,7 +117,7 @@
 	}
 	defer listener.Close()
 	client, updates := newRecordingClient(t, listener.Addr().String())
-	client.callTimeout = 50 * time.Millisecond
+	client.listTimeout = 50 * time.Millisecond
 	client.fetchList(t.Context())
 	if update := receiveWithin(t, "the failure", updates); update.kind != balance.UpdateFailed {
 		t.Errorf("%+v", update)
--- a/internal/sidecar/fixtures_test.go
+++ b/internal/sidecar/fixtures_test.go
@@ -80,7 +80,7 @@
 	address, requests := newRecorder(t, endedStream+string(stream), endedStream+string(stream), endedStream+string(stream))
 	posted := make(chan endpointUpdate, 64)
 	var work sync.WaitGroup
-	client := newDiscoveryClient(address, func(event loopEvent) { posted <- event.(endpointUpdate) }, func(task func()) { work.Go(task) })
+	client := newDiscoveryClient(address, &balance.Config{SidecarCount: 80}, func(event loopEvent) { posted <- event.(endpointUpdate) }, func(task func()) { work.Go(task) })
 	t.Cleanup(func() { client.cancel() })
 	var got transcript
 	for _, call := range []struct {
@@ -151,7 +151,7 @@
 	}
 	loop = newEventLoop(config, balancer, newConnPool(config, 10, &byteBudget{}))
 	loop.clock = clock{start: time.Unix(1_700_000_000, 0), startUnixMS: 1_700_000_000_000}
-	loop.discovery = newDiscoveryClient(config.DiscoveryAddress, loop.post, func(func()) {})
+	loop.discovery = newDiscoveryClient(config.DiscoveryAddress, &config.settings, loop.post, func(func()) {})
 	loop.ctx = t.Context()
 	loop.execute(loop.clock.startUnixMS, balancer.Start(loop.clock.startUnixMS))
 	loop.applyEndpointUpdate(loop.clock.startUnixMS, endpointUpdate{kind: balance.UpdateCached, endpoints: config.knownEndpoints})
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -77,7 +77,7 @@
 		maxInFlight = min(maxInFlight, config.maxOpenRequests)
 	}
 	loop := newEventLoop(config, balancer, newConnPool(config, upstreamSockets, responseMemory))
-	loop.discovery = newDiscoveryClient(config.DiscoveryAddress, loop.post, func(task func()) { loop.workers.Go(task) })
+	loop.discovery = newDiscoveryClient(config.DiscoveryAddress, &config.settings, loop.post, func(task func()) { loop.workers.Go(task) })
 	loop.discovery.monitor = loop.pool.guard.monitor
 	loop.peers = listenPeers(config.peers)
 	clients := newClientListener(listener, clientSockets, int(persistentConnFraction*float64(config.Sockets)))
--- a/internal/sidecar/stepped_loop_test.go
+++ b/internal/sidecar/stepped_loop_test.go
@@ -37,7 +37,7 @@
 	}
 	var cancel context.CancelFunc
 	loop.ctx, cancel = context.WithCancel(context.Background())
-	loop.discovery = newDiscoveryClient(config.DiscoveryAddress, loop.post, func(func()) {})
+	loop.discovery = newDiscoveryClient(config.DiscoveryAddress, &config.settings, loop.post, func(func()) {})
 	t.Cleanup(func() {
 		cancel()
 		close(loop.stopped)
--- a/internal/sidecar/streams.go
+++ b/internal/sidecar/streams.go
@@ -30,8 +30,9 @@
 type heartbeatReader struct {
 	source         io.Reader
 	onHeartbeat    func()
-	listStarted    bool // the first byte of the next list has been read
-	bytesSinceList int  // bytes read after the end of the last list
+	onListStart    func() // called when a list begins, unless its beginning was read with the list before
+	listStarted    bool   // the first byte of the next list has been read
+	bytesSinceList int    // bytes read after the end of the last list
 }
 
 // Read implements io.Reader. A list of more than maxListBytes is an error.
@@ -41,7 +42,10 @@
 	if r.bytesSinceList > maxListBytes {
 		return 0, errListTooLong
 	}
-	r.listStarted = r.listStarted || len(bytes.TrimSpace(buffer[:n])) > 0
+	if !r.listStarted && len(bytes.TrimSpace(buffer[:n])) > 0 {
+		r.listStarted = true
+		r.onListStart()
+	}
 	if !r.listStarted && n > 0 {
 		r.bytesSinceList = 0
 		r.onHeartbeat()
