balance: the backoff after rejected polls leaves time for the third within 6 s

Callers saw: where lists are polled and discovery rejects two calls (503) after 0.9 to 2.4 s, a sidecar of a fleet of 30 had no list 6 s after its first call, and requests went to a draining server past the bound.

Cause: schedulePoll took up to 3 s after each failure, whatever time the calls had taken.

Evidence: TestBackoffAfterRejectedPollsExceedsNotificationDeadline on the code before: third poll 6.07 to 9.67 s after the first (5.8 s allowed, 0.2 s is for the answer). TestRejectedCallsDelayList with real processes: three of six cases fail before, those of 30 sidecars.

Fix: earlyPollLimit bounds the backoff after the first and second failure by what two calls that fail after the same time leave of the 6 s. It is for fleets of up to 30 sidecars, and for larger ones where no call has waited.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -46,7 +46,10 @@
 
 // discoveryState determines the backoff of polls; see schedulePoll.
 type discoveryState struct {
-	failedPolls int // consecutive
+	failedPolls  int     // consecutive
+	failingSince float64 // start of the first of them
+	polling      bool    // a poll has been sent and not answered
+	polledAt     float64 // start of the latest poll
 }
 
 // New returns a balancer with the given settings, or a ConfigError. The balancer keeps references to the slices of
--- a/balance/discovery.go
+++ b/balance/discovery.go
@@ -21,6 +21,13 @@
 	// row: the polls probably wait in a queue, where each further one may take a turn.
 	queuedPollRepeatInterval = 5100
 	firstQueuedPoll          = 3
+
+	// notificationDeadline is the time, in ms, after which a sidecar counts as informed. Up to
+	// earlyFailedPolls polls in a row that fail are repeated early enough for an answer before that, which
+	// takes up to earlyPollReserve, in ms.
+	notificationDeadline = 6000
+	earlyPollReserve     = 200
+	earlyFailedPolls     = 2
 )
 
 // PollRepeatInterval returns the time, in ms, between two polls of discovery that are not answered.
@@ -43,15 +50,14 @@
 func (b *Balancer) onEndpointUpdate(ev EndpointUpdate) {
 	switch ev.Kind {
 	case UpdateFailed:
-		b.discovery.failedPolls++
-		b.schedulePoll(0.5, b.config.PollInterval, ev.DiscoveryUnreachable) // at least half of the backoff
+		b.onPollFailed(ev.DiscoveryUnreachable)
 		return
 	case UpdateFull, UpdateCached:
 		b.removeUnlisted(ev.Servers)
 	case UpdateDelta:
 	}
 	if ev.Kind != UpdateCached {
-		b.discovery.failedPolls = 0
+		b.discovery = discoveryState{}
 	}
 	for i := range ev.Servers {
 		b.updateServer(&ev.Servers[i])
@@ -63,6 +69,45 @@
 	}
 }
 
+// poll polls discovery.
+func (b *Balancer) poll() {
+	b.discovery.polling, b.discovery.polledAt = true, b.now
+	b.emit(Action{Kind: WatchEndpoints})
+}
+
+// onPollFailed schedules the next poll after a failed poll or the end of a subscription. unqueued states that
+// no polls wait at discovery.
+func (b *Balancer) onPollFailed(unqueued bool) {
+	d := &b.discovery
+	duration := 0.0 // of the poll
+	if d.polling {
+		duration = b.now - d.polledAt
+	}
+	d.polling = false
+	if d.failedPolls++; d.failedPolls == 1 {
+		d.failingSince = b.now - duration
+	}
+	maxBackoff := b.config.PollInterval
+	limit := b.earlyPollLimit(duration)
+	early := limit > 0 && (unqueued || b.config.fewSidecars())
+	if early && (limit < maxBackoff || maxBackoff == 0) {
+		maxBackoff = limit
+	}
+	b.schedulePoll(0.5, maxBackoff, unqueued) // at least half of the backoff
+}
+
+// earlyPollLimit returns the longest backoff, in ms, with which earlyFailedPolls polls in a row may fail, each
+// after the same duration in ms, and the next one is answered before notificationDeadline. It is 0 or less if
+// there is no such backoff.
+func (b *Balancer) earlyPollLimit(duration float64) float64 {
+	d := &b.discovery
+	if d.failedPolls > earlyFailedPolls {
+		return 0
+	}
+	furtherFailures := float64(earlyFailedPolls - d.failedPolls)
+	return notificationDeadline - earlyPollReserve - (b.now - d.failingSince) - furtherFailures*duration
+}
+
 // updateServer applies one entry of an update. A restart clears the recorded faults of a server and begins
 // its slow start.
 func (b *Balancer) updateServer(entry *Server) {
@@ -93,7 +138,10 @@
 func (b *Balancer) schedulePoll(minFraction, maxBackoff float64, unqueued bool) {
 	backoff := b.config.fleetPollBackoff() * float64(int(1)<<min(b.discovery.failedPolls, maxPollDoublings))
 	if backoff > maxUnqueuedPollBackoff && (unqueued || b.config.fewSidecars()) {
-		backoff, minFraction = maxUnqueuedPollBackoff, 0
+		backoff = maxUnqueuedPollBackoff
+		if unqueued {
+			minFraction = 0
+		}
 	}
 	if maxBackoff > 0 {
 		backoff = math.Min(backoff, maxBackoff)
--- a/balance/discovery_test.go
+++ b/balance/discovery_test.go
@@ -104,3 +104,59 @@
 		}
 	}
 }
+
+// timeOfThirdPoll returns the time from the first poll to the third one, in ms. Discovery rejects the first two
+// after a time.
+func timeOfThirdPoll(t *testing.T, sidecars int, seed uint64, duration float64) float64 {
+	t.Helper()
+	cfg := baseConfig()
+	cfg.Subscribe, cfg.SidecarCount, cfg.Seed = true, sidecars, splitmix64(seed+1)
+	h := newHarness(t, cfg, testServers(3)...)
+	h.now += h.actions[0].Delay
+	polledAt := h.now
+	for range 2 {
+		if !hasAction(h.handle(TimerFired{Token: discoveryTimer}), WatchEndpoints) {
+			t.Fatal("the timer does not poll discovery")
+		}
+		h.now += duration
+		h.now += h.handle(EndpointUpdate{Kind: UpdateFailed, DiscoveryUnreachable: duration < queuedFrom})[0].Delay
+	}
+	return h.now - polledAt
+}
+
+const (
+	queuedFrom      = 1000.0 // a poll that is rejected after this time, in ms, has waited in discovery's queue
+	longestRejected = 2500.0 // a sidecar opens the next call beside one that takes longer
+	rejectedStep    = 100.0
+)
+
+// checkThirdPolls fails the test if a poll that follows two rejected ones comes too late.
+func checkThirdPolls(t *testing.T, sidecars int, shortest, longest float64) {
+	t.Helper()
+	for duration := shortest; duration <= longest; duration += rejectedStep {
+		worst := 0.0
+		for seed := range uint64(200) {
+			worst = max(worst, timeOfThirdPoll(t, sidecars, seed, duration))
+		}
+		if worst > notificationDeadline-earlyPollReserve {
+			t.Errorf("%d sidecars, rejected after %v ms: the third poll comes %.0f ms after the first", sidecars, duration, worst)
+		}
+	}
+}
+
+// Discovery rejected two polls, and the backoff after them was longer than what was left of the 6 s.
+func TestBackoffAfterRejectedPollsExceedsNotificationDeadline(t *testing.T) {
+	for _, sidecars := range []int{1, 3, 10, 20, 30} {
+		checkThirdPolls(t, sidecars, 0, longestRejected)
+	}
+	for _, sidecars := range []int{31, 80, 300, 900} {
+		checkThirdPolls(t, sidecars, 0, queuedFrom-rejectedStep)
+	}
+}
+
+// The same, where the polls of a large fleet have waited in discovery's queue.
+func TestBackoffOfLargeFleetExceedsNotificationDeadline(t *testing.T) {
+	for _, sidecars := range []int{31, 80, 300, 900} {
+		checkThirdPolls(t, sidecars, queuedFrom, longestRejected)
+	}
+}
--- a/balance/handle.go
+++ b/balance/handle.go
@@ -127,7 +127,7 @@
 func (b *Balancer) onTimer(ev TimerFired) {
 	switch ev.Token {
 	case discoveryTimer:
-		b.emit(Action{Kind: WatchEndpoints})
+		b.poll()
 	case gossipTimer:
 		b.sendFindings()
 	default:
--- a/cmd/sidecar/slow_discovery_test.go
+++ b/cmd/sidecar/slow_discovery_test.go
@@ -9,6 +9,8 @@
 	"time"
 )
 
+const rejectedCallResponse = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
 // answerLate answers all later calls with the same text, each after a wait.
 func (registry *fakeRegistry) answerLate(t *testing.T, wait time.Duration, text string) {
 	done := make(chan struct{})
@@ -106,3 +108,27 @@
 		})
 	}
 }
+
+// Discovery rejects two calls that have waited, and the backoff after them was longer than what was left of the 6 s.
+func TestRejectedCallsDelayList(t *testing.T) {
+	for _, wait := range []time.Duration{900 * time.Millisecond, 1500 * time.Millisecond, 2400 * time.Millisecond} {
+		for _, sidecars := range []int{3, 30} {
+			t.Run(fmt.Sprintf("%v, %d sidecars", wait, sidecars), func(t *testing.T) {
+				t.Parallel()
+				rig := startPolledRig(t, sidecars)
+				defer rig.terminate()
+				first := rig.registry.nextCall(t)
+				calledAt := time.Now()
+				time.Sleep(wait)
+				tryWrite(first, rejectedCallResponse)
+				first.Close()
+				second := rig.registry.nextCall(t)
+				time.Sleep(wait)
+				tryWrite(second, rejectedCallResponse)
+				second.Close()
+				rig.registry.answerAll(t, listResponseHeader+rig.listJSON(1, true, "Terminating", ""))
+				rig.checkDrained("the list", calledAt.Add(notificationDeadline))
+			})
+		}
+	}
+}
