balance: polls that failed at a former discovery no longer count at the next one

Callers could see: where lists are polled and SIGHUP names another discovery while polls fail, one rejected call at the new address is followed by a backoff as after many, past the 6 s, and requests go to a draining server for longer.

Cause: switchDiscovery opens the watch at the new address without the balancer, which keeps the count and the start of the failed polls.

Fix: the event DiscoveryAddressChanged begins a new series of polls, the first of which is sent then.

--- a/balance/discovery.go
+++ b/balance/discovery.go
@@ -71,7 +71,9 @@
 
 // poll polls discovery.
 func (b *Balancer) poll() {
-	b.discovery.polling, b.discovery.polledAt = true, b.now
+	if !b.discovery.polling {
+		b.discovery.polling, b.discovery.polledAt = true, b.now
+	}
 	b.emit(Action{Kind: WatchEndpoints})
 }
 
--- a/balance/discovery_test.go
+++ b/balance/discovery_test.go
@@ -160,3 +160,31 @@
 		checkThirdPolls(t, sidecars, queuedFrom, longestRejected)
 	}
 }
+
+// The sidecar followed discovery to another address, and polls that had failed at the former one lengthened the backoff.
+func TestBackoffOfFormerDiscoveryOutlastsAddressChange(t *testing.T) {
+	cfg := baseConfig()
+	cfg.Subscribe, cfg.SidecarCount = true, 30
+	for _, polling := range []bool{false, true} {
+		h := newHarness(t, cfg, testServers(3)...)
+		for range 6 {
+			h.handle(TimerFired{Token: discoveryTimer})
+			h.now += longestRejected
+			h.handle(EndpointUpdate{Kind: UpdateFailed})
+		}
+		if polling {
+			h.handle(TimerFired{Token: discoveryTimer})
+			h.now += longestRejected
+		}
+		changedAt := h.now
+		h.handle(DiscoveryAddressChanged{})
+		for range 2 {
+			h.now += longestRejected
+			h.now += h.handle(EndpointUpdate{Kind: UpdateFailed})[0].Delay
+			h.handle(TimerFired{Token: discoveryTimer})
+		}
+		if elapsed := h.now - changedAt; elapsed > notificationDeadline-earlyPollReserve {
+			t.Errorf("polling %v: the third poll at the new address comes after %.0f ms", polling, elapsed)
+		}
+	}
+}
--- a/balance/event.go
+++ b/balance/event.go
@@ -49,6 +49,9 @@
 	DiscoveryUnreachable bool
 }
 
+// DiscoveryAddressChanged reports that the sidecar follows discovery at another address and has polled it there.
+type DiscoveryAddressChanged struct{}
+
 // Request is a client's request. It receives exactly one final answer.
 type Request struct {
 	ID            RequestID
@@ -151,12 +154,13 @@
 	LoadFraction float64 // of the key's load, 0 to 1; 0: only enough to warm the replica up
 }
 
-func (EndpointUpdate) event()     {}
-func (Request) event()            {}
-func (Outcome) event()            {}
-func (StreamStarted) event()      {}
-func (ClientDisconnected) event() {}
-func (TimerFired) event()         {}
-func (HealthCheckResult) event()  {}
-func (GossipMessage) event()      {}
-func (Placement) event()          {}
+func (EndpointUpdate) event()          {}
+func (DiscoveryAddressChanged) event() {}
+func (Request) event()                 {}
+func (Outcome) event()                 {}
+func (StreamStarted) event()           {}
+func (ClientDisconnected) event()      {}
+func (TimerFired) event()              {}
+func (HealthCheckResult) event()       {}
+func (GossipMessage) event()           {}
+func (Placement) event()               {}
--- a/balance/handle.go
+++ b/balance/handle.go
@@ -45,6 +45,8 @@
 		b.onTimer(ev)
 	case EndpointUpdate:
 		b.onEndpointUpdate(ev)
+	case DiscoveryAddressChanged:
+		b.discovery = discoveryState{polling: true, polledAt: b.now}
 	case HealthCheckResult:
 		b.onHealthCheckResult(ev)
 	case ClientDisconnected:
--- a/internal/sidecar/endpoint_updates.go
+++ b/internal/sidecar/endpoint_updates.go
@@ -9,10 +9,11 @@
 // switchDiscovery switches to discovery at another address. It opens a watch there immediately, because the platform's
 // protocol counts the new service's list as known soon after the switch. The upstreams stay unchanged until the first list
 // arrives.
-func (l *eventLoop) switchDiscovery(address string) {
+func (l *eventLoop) switchDiscovery(nowMS float64, address string) {
 	l.discovery.switchAddress(address)
 	if l.config.settings.Subscribe {
 		l.discovery.watch(l.ctx)
+		l.dispatch(nowMS, balance.DiscoveryAddressChanged{})
 	} else {
 		l.discovery.maintainWatch(l.ctx)
 	}
--- a/internal/sidecar/event_loop.go
+++ b/internal/sidecar/event_loop.go
@@ -146,7 +146,7 @@
 			l.applyEndpointUpdate(nowMS, event)
 		}
 	case discoveryAddressChanged:
-		l.switchDiscovery(event.address)
+		l.switchDiscovery(nowMS, event.address)
 	case placementUpdate:
 		l.applyPlacementUpdate(nowMS, event)
 	case configReloaded:
