sidecar: three calls to discovery are open at most, not four

Each open call takes a connection of a crowded discovery. Two calls beside the oldest are open for 5.2 s and more each, which is longer than the 3.3 s for which the bound of 6 s can hold after a partition.

Measured: the tests of late answers, partitions, crowds and silences pass with the same bounds.

--- a/internal/sidecar/parallel_calls.go
+++ b/internal/sidecar/parallel_calls.go
@@ -11,9 +11,9 @@
 // errSuperseded ends a call because another one beside it was answered first.
 var errSuperseded = errors.New("another call to discovery was answered first")
 
-// maxOpenCalls bounds the calls that are open beside each other. The newest three are open for long enough to be answered
+// maxOpenCalls bounds the calls that are open beside each other. The newest two are open for long enough to be answered
 // within 6 s of the end of a partition.
-const maxOpenCalls = 4
+const maxOpenCalls = 3
 
 // parallelCalls opens a polled watch. A call that is not answered may wait in discovery's queue, where it loses its turn if
 // it is given up. It may also be on a connection that a partition has cut, which stays silent after the partition has ended.
