--- a/cmd/sidecar/slow_discovery_test.go
+++ b/cmd/sidecar/slow_discovery_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -98,7 +97,7 @@
 			rig.awaitAnswers("the list", time.Now().Add(testTimeout), func(answer string) bool { return answer != "" })
 			silent, last := newFakeRegistry(t), newFakeRegistry(t)
 			rig.reloadDiscovery(silent.Addr().String())
-			var waiting net.Conn = silent.nextCall(t)
+			waiting := silent.nextCall(t)
 			rig.reloadDiscovery(last.Addr().String())
 			changedAt := time.Now()
 			last.answerLate(t, wait, listResponseHeader+rig.listJSON(2, true, "Terminating", ""))
