sidecar: a call that is given up can no longer become the watch

Found by reading the new code: a call that is given up for a fourth one and answered at the same moment became the watch, cancelled the calls that still waited and ended at once, so all lost their turns. claim now refuses a call whose context has ended.

Measured: TestGivenUpCallCancelsOthers fails without the check; -race -count=20 with it.

--- a/internal/sidecar/late_answer_test.go
+++ b/internal/sidecar/late_answer_test.go
@@ -213,3 +213,21 @@
 		})
 	}
 }
+
+// A call that is given up and answered at the same moment must not cancel the calls that still wait in the queue.
+func TestGivenUpCallCancelsOthers(t *testing.T) {
+	client := newDiscoveryClient("127.0.0.1:1", &balance.Config{SidecarCount: 3}, nil, nil)
+	calls := newParallelCalls(client.newCall(t.Context()))
+	oldestCtx, cancelOldest := context.WithCancelCause(t.Context())
+	defer cancelOldest(nil)
+	givenUpCtx, giveUp := context.WithCancelCause(t.Context())
+	oldest, givenUp := &discoveryCall{ctx: oldestCtx}, &discoveryCall{ctx: givenUpCtx}
+	calls.open = []openCall{{oldest, cancelOldest}, {givenUp, giveUp}}
+	giveUp(errDiscoveryTimeout)
+	if calls.claim(givenUp) || oldestCtx.Err() != nil {
+		t.Error("the call that was given up became the watch")
+	}
+	if !calls.claim(oldest) {
+		t.Error("the oldest call cannot become the watch")
+	}
+}
--- a/internal/sidecar/parallel_calls.go
+++ b/internal/sidecar/parallel_calls.go
@@ -93,11 +93,12 @@
 	})
 }
 
-// claim reports whether a call is the one that was answered first. The first call that claims this cancels the others.
+// claim reports whether a call is the one that was answered first. The first call that claims this cancels the others. A
+// call that has been given up cannot claim it.
 func (p *parallelCalls) claim(call *discoveryCall) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.answered == nil {
+	if p.answered == nil && call.ctx.Err() == nil {
 		p.answered = call
 		for _, other := range p.open {
 			if other.call != call {
