--- a/cmd/sidecar/outage_test.go
+++ b/cmd/sidecar/outage_test.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/exec"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -27,21 +26,7 @@
 }
 
 // answerAll answers all later calls, and those that are waiting, with the same text.
-func (registry *fakeRegistry) answerAll(t *testing.T, text string) {
-	done := make(chan struct{})
-	var goroutines sync.WaitGroup
-	goroutines.Go(func() {
-		for {
-			select {
-			case conn := <-registry.calls:
-				tryWrite(conn, text)
-			case <-done:
-				return
-			}
-		}
-	})
-	t.Cleanup(func() { close(done); goroutines.Wait() })
-}
+func (registry *fakeRegistry) answerAll(t *testing.T, text string) { registry.answerLate(t, 0, text) }
 
 // fillWithClients connects more clients than the sidecar has capacity for. Every other client sends a request, reads the
 // response and stays idle; the others send nothing.
