--- a/cmd/sidecar/restarted_crowd_test.go
+++ b/cmd/sidecar/restarted_crowd_test.go
@@ -52,12 +52,19 @@
 	return discovery, server.Listener.Addr().String()
 }
 
+// serveInTurn answers the calls of the queue. The answers are at fixed times, so that a busy machine does not add up delays.
 func (d *crowdedDiscovery) serveInTurn() {
+	var servedAt time.Time
 	for call := range d.queue {
-		if call.ctx.Err() == nil {
-			time.Sleep(d.serviceTime)
-			close(call.turn)
+		if call.ctx.Err() != nil {
+			continue
 		}
+		if idleSince := time.Now().Add(-d.serviceTime); servedAt.Before(idleSince) {
+			servedAt = time.Now()
+		}
+		servedAt = servedAt.Add(d.serviceTime)
+		time.Sleep(time.Until(servedAt))
+		close(call.turn)
 	}
 }
 
