--- a/balance/discovery.go
+++ b/balance/discovery.go
@@ -98,9 +98,9 @@
 	b.schedulePoll(0.5, maxBackoff, unqueued) // at least half of the backoff
 }
 
-// earlyPollLimit returns the longest backoff, in ms, with which earlyFailedPolls polls in a row may fail, each
-// after the same duration in ms, and the next one is answered before notificationDeadline. It is 0 or less if
-// there is no such backoff.
+// earlyPollLimit returns the longest backoff, in ms, with which earlyFailedPolls polls in a row may fail,
+// each after the same duration in ms, and the next one is answered before notificationDeadline. It is 0 or
+// less if there is no such backoff.
 func (b *Balancer) earlyPollLimit(duration float64) float64 {
 	d := &b.discovery
 	if d.failedPolls > earlyFailedPolls {
